--- /dev/null
+++ b/internal/reducer/adoption.go
@@ -0,0 +1,77 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+)
+
+// fileAskInterval is the least time between two requests for a peer's file.
+const fileAskInterval = time.Second
+
+// fileOffered adopts upwards only: the order on (revision, digest) is total,
+// so instances that meet files in any sequence end with the same one.
+func (s *State) fileOffered(ev FileOffered) {
+	if ev.File == nil {
+		return
+	}
+	if !ev.File.Newer(s.file) && !s.cfg.Guards.NoUpwardsOnly {
+		if ev.File.Digest() != s.file.Digest() {
+			s.count(CounterFilesRejected, "not_newer", 1)
+			s.log("file_not_adopted", "source", ev.Source, "revision", ev.File.Revision, "in_force", s.file.Revision)
+		}
+		return
+	}
+	s.file = ev.File
+	s.manifest, s.parts = ev.Manifest, ev.Parts
+	s.tierRank = make(map[string]int, len(s.file.Tiers))
+	for i := range s.file.Tiers {
+		s.tierRank[s.file.Tiers[i].Name] = s.file.Tiers[i].Rank
+	}
+	s.count(CounterFilesAdopted, "", 1)
+	s.log("file_adopted", "source", ev.Source, "revision", s.file.Revision)
+	s.emit(FileAdopted{File: s.file, Source: ev.Source})
+	s.accrueAll()
+	s.rebuildEndpoints()
+	s.checkReady()
+	s.announceFile()
+}
+
+// announceFile tells peers at once rather than with the next heartbeat, so
+// that a change passes through a zone that the platform cannot reach.
+func (s *State) announceFile() {
+	for _, p := range s.peerOrder {
+		if p.session {
+			s.sendHeartbeat(p)
+		}
+	}
+}
+
+// compareFile asks a peer for its file when that is above the one in force.
+func (s *State) compareFile(p *peer) {
+	if p.revision == 0 || s.now.Sub(s.asked) < fileAskInterval {
+		return
+	}
+	if s.file != nil {
+		d := s.file.Digest()
+		if p.revision < s.file.Revision {
+			return
+		}
+		if p.revision == s.file.Revision && p.digest <= string(d[:8]) {
+			return
+		}
+	}
+	s.asked = s.now
+	s.send(p.id, &peerpb.Frame{Body: &peerpb.Frame_FileRequest{FileRequest: &peerpb.FileRequest{Revision: p.revision}}})
+}
+
+func (s *State) fileRequested(from Incarnation, r *peerpb.FileRequest) {
+	if s.file == nil || s.file.Revision < r.GetRevision() {
+		return
+	}
+	s.send(from, &peerpb.Frame{Body: &peerpb.Frame_FileReply{FileReply: &peerpb.FileReply{
+		Revision: s.file.Revision,
+		Manifest: s.manifest,
+		Parts:    s.parts,
+	}}})
+}
--- /dev/null
+++ b/internal/reducer/decision.go
@@ -0,0 +1,43 @@
+package reducer
+
+// recentDecisions bounds the decisions kept for explaining.
+const recentDecisions = 1024
+
+// Decision is one thing that was decided about a request.
+type Decision struct {
+	At      Instant
+	Request RequestID
+	What    string
+	Detail  string
+}
+
+// decisionLog keeps the most recent decisions in a ring.
+type decisionLog struct {
+	ring []Decision
+	next int
+}
+
+func newDecisionLog() *decisionLog {
+	return &decisionLog{ring: make([]Decision, 0, recentDecisions)}
+}
+
+func (l *decisionLog) add(at Instant, id RequestID, what, detail string) {
+	d := Decision{At: at, Request: id, What: what, Detail: detail}
+	if len(l.ring) < recentDecisions {
+		l.ring = append(l.ring, d)
+		return
+	}
+	l.ring[l.next] = d
+	l.next = (l.next + 1) % recentDecisions
+}
+
+// about returns the decisions on one request, oldest first.
+func (l *decisionLog) about(id RequestID) []Decision {
+	var all []Decision
+	for i := range l.ring {
+		if d := l.ring[(l.next+i)%len(l.ring)]; d.Request == id {
+			all = append(all, d)
+		}
+	}
+	return all
+}
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -48,6 +48,9 @@
 	Dispatch struct {
 		Request  RequestID
 		Endpoint string
+		// NotAfter is the end of the slot's lease: traffic writes nothing at
+		// or after it and answers EndedNotSent.
+		NotAfter Instant
 	}
 
 	// Disconnect gives back a connection on which nothing was written.
--- /dev/null
+++ b/internal/reducer/spend.go
@@ -0,0 +1,163 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/declared"
+	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+)
+
+// Spend constants.
+const (
+	// bucketSpan is the span of declared spend that may be saved up.
+	bucketSpan = time.Hour
+	// borrowInterval is the least time between two requests for allowance of
+	// one organisation.
+	borrowInterval = 200 * time.Millisecond
+)
+
+// bucket is this instance's allowance for one organisation, in micros. It is
+// empty at the start of the process, so that restarts never pay twice.
+type bucket struct {
+	micros   float64
+	at       Instant
+	borrowed Instant
+	lender   int
+}
+
+// accrueAll settles every bucket at the rate that was in force until now.
+func (s *State) accrueAll() {
+	for name := range s.buckets {
+		s.bucket(name)
+	}
+}
+
+// rate is this instance's part of what the zone may spend for an
+// organisation: an equal part for each listed instance. The parts of all
+// listed instances never exceed the whole, however the zone is split.
+func (s *State) rate(organisation string) (microsPerSecond float64, bounded bool) {
+	o := s.file.Organisation(organisation)
+	if o == nil || o.SpendMicrosPerMonth == 0 {
+		return 0, false
+	}
+	return s.file.SpendRate(organisation, s.cfg.AvailabilityZone) / float64(s.listedCount()), true
+}
+
+// bucket returns the organisation's bucket, filled up to now.
+func (s *State) bucket(organisation string) *bucket {
+	b := s.buckets[organisation]
+	rate, bounded := s.rate(organisation)
+	if b == nil {
+		b = &bucket{at: s.now}
+		if s.cfg.Guards.FullBuckets {
+			b.micros = rate * bucketSpan.Seconds()
+		}
+		s.buckets[organisation] = b
+	}
+	if bounded {
+		limit := max(rate*bucketSpan.Seconds(), b.micros)
+		b.micros = min(limit, b.micros+rate*s.now.Sub(b.at).Seconds())
+	}
+	b.at = s.now
+	return b
+}
+
+// highestPrice is what a run may cost at most in its pool.
+func (s *State) highestPrice(req *Request) int64 {
+	highest := int64(0)
+	p := s.pools[req.Pool]
+	if p == nil {
+		return 0
+	}
+	for _, e := range s.endpointOrder {
+		for _, m := range e.models {
+			if m == p.name && e.class != nil {
+				highest = max(highest, e.class.Price(req.PromptTokens, 0, req.OutputTokens))
+			}
+		}
+	}
+	return highest
+}
+
+// reserve takes the highest price of a request from the allowance. It reports
+// false, and how long accrual alone would take, where that is not there.
+func (s *State) reserve(r *request) (ok bool, wait time.Duration) {
+	rate, bounded := s.rate(r.req.Organisation)
+	if !bounded {
+		return true, 0
+	}
+	r.reserved = s.highestPrice(&r.req)
+	b := s.bucket(r.req.Organisation)
+	if missing := float64(r.reserved) - b.micros; missing > 0 {
+		r.reserved = 0
+		if rate <= 0 {
+			return false, declared.Month
+		}
+		return false, time.Duration(missing / rate * float64(time.Second))
+	}
+	b.micros -= float64(r.reserved)
+	return true, 0
+}
+
+// settle replaces a reservation by what the run did cost.
+func (s *State) settle(r *request, price int64) {
+	if r.reserved == 0 {
+		return
+	}
+	b := s.bucket(r.req.Organisation)
+	b.micros += float64(r.reserved - price)
+	r.reserved = 0
+}
+
+// borrow asks one peer after the other for allowance.
+func (s *State) borrow(r *request) {
+	b := s.bucket(r.req.Organisation)
+	if s.now.Sub(b.borrowed) < borrowInterval {
+		return
+	}
+	var usable []*peer
+	for _, p := range s.peerOrder {
+		if p.usable() {
+			usable = append(usable, p)
+		}
+	}
+	if len(usable) == 0 {
+		return
+	}
+	b.borrowed = s.now
+	b.lender++
+	to := usable[b.lender%len(usable)]
+	missing := float64(s.highestPrice(&r.req)) - b.micros
+	s.send(to.id, &peerpb.Frame{Body: &peerpb.Frame_Borrow{Borrow: &peerpb.Borrow{
+		Organisation: r.req.Organisation, Micros: int64(missing) + 1,
+	}}})
+}
+
+// borrowReceived lends at most half of what is there. It is deducted before
+// the message leaves: a lost message loses allowance, never doubles it.
+func (s *State) borrowReceived(from Incarnation, m *peerpb.Borrow) {
+	if s.file == nil || m.GetMicros() <= 0 {
+		return
+	}
+	if _, bounded := s.rate(m.GetOrganisation()); !bounded {
+		return
+	}
+	b := s.bucket(m.GetOrganisation())
+	lent := min(m.GetMicros(), int64(b.micros/2))
+	if lent <= 0 {
+		return
+	}
+	b.micros -= float64(lent)
+	s.send(from, &peerpb.Frame{Body: &peerpb.Frame_Lend{Lend: &peerpb.Lend{Organisation: m.GetOrganisation(), Micros: lent}}})
+}
+
+func (s *State) lendReceived(m *peerpb.Lend) {
+	if s.file == nil || m.GetMicros() <= 0 {
+		return
+	}
+	if _, bounded := s.rate(m.GetOrganisation()); !bounded {
+		return
+	}
+	s.bucket(m.GetOrganisation()).micros += float64(m.GetMicros())
+	s.fundWaiting(m.GetOrganisation())
+}
--- /dev/null
+++ b/internal/reducer/state.go
@@ -0,0 +1,340 @@
+package reducer
+
+import (
+	"math"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/declared"
+	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+	"github.com/balsamstair/balsamstair/internal/refusal"
+)
+
+// Timing constants. Each is weighed in docs/DESIGN.md.
+const (
+	// TickInterval is the longest time between two events at the reducer.
+	TickInterval = 100 * time.Millisecond
+	// HeartbeatInterval is the time between heartbeats to each peer.
+	HeartbeatInterval = 500 * time.Millisecond
+	// SuspectAfter is the silence after which a peer gets no new work.
+	SuspectAfter = 1500 * time.Millisecond
+	// DeadAfter is the silence after which a peer's ownership moves.
+	DeadAfter = 5 * time.Second
+	// DeadAfterClosed replaces DeadAfter where the session is closed.
+	DeadAfterClosed = 2 * time.Second
+	// ForgetPeerAfter is how long a dead peer is remembered.
+	ForgetPeerAfter = 2 * time.Minute
+	// GrantLease is how long a grant may be used, counted from the beginning
+	// of the round in which the holder asked. It is shorter than DeadAfter, so
+	// that an owner which gives the slots of a dead holder to others cannot
+	// meet a late user of an old grant.
+	GrantLease = 4 * time.Second
+	// RenewInterval is the time between rounds of asking.
+	RenewInterval = 1500 * time.Millisecond
+	// HeldInterval is the time between full reports of held slots.
+	HeldInterval = 5 * time.Second
+	// TicketLife is how long a ticket may be sent.
+	TicketLife = 10 * time.Minute
+	// RecordLife is how long the end of a request is remembered. It exceeds
+	// TicketLife, so that no ticket outlives the record of its use.
+	RecordLife = TicketLife + time.Minute
+	// KeptLife is how long a whole answer is kept for re-sends.
+	KeptLife = time.Minute
+	// CancelGrace is how long a run goes on after its last caller left.
+	CancelGrace = 2 * time.Second
+	// CloseLease is how long a closed tier stays closed without renewal.
+	CloseLease = 3 * time.Second
+	// CloseRenewInterval is the time between renewals of a closure.
+	CloseRenewInterval = time.Second
+	// JoinWait bounds how long a fresh instance waits for listed peers that
+	// it cannot reach.
+	JoinWait = 3 * time.Second
+	// FundingWait is the longest time that a request waits for allowance.
+	FundingWait = 2 * time.Second
+)
+
+// Bounds on state.
+const (
+	// MaxWaiting bounds the queue of one pool at one owner, in requests.
+	MaxWaiting = 5000
+	// MaxRecords bounds the remembered ends of requests.
+	MaxRecords = 200_000
+	// MaxSuspects bounds the remembered fingerprints of crashing requests.
+	MaxSuspects = 1024
+	// MaxPrefixes bounds the remembered prefixes of one endpoint.
+	MaxPrefixes = 4096
+)
+
+// Config is what one process knows of itself.
+type Config struct {
+	Incarnation      Incarnation
+	Instance         string
+	AvailabilityZone string
+	// Policy chooses among endpoints; the zero value is the product's.
+	Policy Policy
+	// Guards may switch single guards off, so that a test can show what each
+	// one prevents. The zero value has all guards on.
+	Guards Guards
+}
+
+// Policy names a way of placing requests.
+type Policy int
+
+// The policies; all but PolicyCost are baselines for measurement.
+const (
+	PolicyCost Policy = iota
+	PolicyRandom
+	PolicyRoundRobin
+	PolicyLeastOutstanding
+)
+
+// Guards lists guards that are off. They exist to show, in tests, the failure
+// that each guard prevents.
+type Guards struct {
+	NoLeaseCheck    bool
+	NoRecord        bool
+	NoBurn          bool
+	NoRecovery      bool
+	NoShedOrder     bool
+	NoUpwardsOnly   bool
+	NoCrashIsolate  bool
+	NoGracefulStop  bool
+	NoLeavingCheck  bool
+	NoUnknownOnFail bool
+	FullBuckets     bool
+}
+
+// State is all control state of one instance. It is not safe for concurrent
+// use: the control goroutine alone calls its methods.
+type State struct {
+	cfg Config
+	now Instant
+	out []Effect
+	// local holds frames of this instance to itself until Step returns.
+	local []*peerpb.Frame
+
+	startedAt Instant
+	ready     bool
+	stopping  bool
+	stopped   bool
+
+	file     *declared.File
+	manifest []byte
+	parts    [][]byte
+	tierRank map[string]int
+	asked    Instant
+
+	listed       []Instance
+	listKnown    bool
+	peers        map[Incarnation]*peer
+	peerOrder    []*peer
+	heartbeatSeq uint64
+	heartbeatAt  Instant
+
+	endpoints     map[string]*endpoint
+	endpointOrder []*endpoint
+	pools         map[string]*pool
+	poolOrder     []*pool
+
+	requests  map[RequestID]*request
+	waiters   map[Waiter]RequestID
+	byKey     map[uint64]RequestID
+	nextID    RequestID
+	records   map[RequestID]*record
+	recordAge []RequestID
+	keptAge   []RequestID
+
+	round      uint32
+	roundTimes [roundMemory]Instant
+	heldAt     Instant
+
+	buckets  map[string]*bucket
+	suspects map[uint64]*suspect
+	lengths  map[lengthKey]float64
+
+	recent *decisionLog
+}
+
+// New returns the state of a process that has just started.
+func New(cfg Config, now Instant) *State {
+	s := &State{
+		cfg:       cfg,
+		now:       now,
+		startedAt: now,
+		peers:     map[Incarnation]*peer{},
+		endpoints: map[string]*endpoint{},
+		pools:     map[string]*pool{},
+		requests:  map[RequestID]*request{},
+		waiters:   map[Waiter]RequestID{},
+		byKey:     map[uint64]RequestID{},
+		records:   map[RequestID]*record{},
+		buckets:   map[string]*bucket{},
+		suspects:  map[uint64]*suspect{},
+		lengths:   map[lengthKey]float64{},
+		recent:    newDecisionLog(),
+		asked:     math.MinInt64 / 2,
+	}
+	s.beginRound()
+	return s
+}
+
+// Step takes one event at the given time and returns what is to be done. The
+// time never goes back; an earlier reading counts as no time passed. The
+// returned slice is valid until the next call.
+func (s *State) Step(now Instant, ev Event) []Effect {
+	if now > s.now {
+		s.now = now
+	}
+	s.out = s.out[:0]
+	s.handle(ev)
+	for len(s.local) > 0 {
+		f := s.local[0]
+		s.local = s.local[1:]
+		s.frame(s.cfg.Incarnation, f)
+	}
+	s.local = nil
+	return s.out
+}
+
+func (s *State) handle(ev Event) {
+	switch ev := ev.(type) {
+	case Tick:
+		s.tick()
+	case FileOffered:
+		s.fileOffered(ev)
+	case InstancesListed:
+		s.instancesListed(ev.Instances)
+	case PeerUp:
+		s.peerUp(ev)
+	case PeerDown:
+		s.peerDown(ev.Peer)
+	case PeerMessage:
+		s.heard(ev.From)
+		s.frame(ev.From, ev.Frame)
+	case RequestArrived:
+		s.requestArrived(ev)
+	case TicketRequested:
+		s.offerTicket(ev.Waiter)
+	case CallerGone:
+		s.callerGone(ev.Waiter)
+	case ConnectDone:
+		s.connectDone(ev)
+	case FirstByte:
+		s.firstByte(ev.Request)
+	case DispatchDone:
+		s.dispatchDone(ev)
+	case EndpointReported:
+		s.endpointReported(ev)
+	case CacheChanged:
+		s.cacheChanged(ev)
+	case StopRequested:
+		s.stopRequested()
+	}
+}
+
+// frame takes a message of a peer, or of this instance to itself.
+func (s *State) frame(from Incarnation, f *peerpb.Frame) {
+	switch b := f.GetBody().(type) {
+	case *peerpb.Frame_Heartbeat:
+		s.heartbeat(from, b.Heartbeat)
+	case *peerpb.Frame_Ask:
+		s.askReceived(from, b.Ask)
+	case *peerpb.Frame_Renew:
+		s.renewReceived(from, b.Renew)
+	case *peerpb.Frame_Withdraw:
+		s.withdrawReceived(from, b.Withdraw)
+	case *peerpb.Frame_Grant:
+		s.grantReceived(from, b.Grant)
+	case *peerpb.Frame_Decline:
+		s.declineReceived(from, b.Decline)
+	case *peerpb.Frame_Release:
+		s.releaseReceived(from, b.Release)
+	case *peerpb.Frame_HeldRequest:
+		s.heldRequested(from, b.HeldRequest)
+	case *peerpb.Frame_Held:
+		s.heldReceived(from, b.Held)
+	case *peerpb.Frame_TierClose:
+		s.tierCloseReceived(from, b.TierClose)
+	case *peerpb.Frame_TierCloseConfirm:
+		s.tierCloseConfirmed(from, b.TierCloseConfirm)
+	case *peerpb.Frame_Borrow:
+		s.borrowReceived(from, b.Borrow)
+	case *peerpb.Frame_Lend:
+		s.lendReceived(b.Lend)
+	case *peerpb.Frame_FileRequest:
+		s.fileRequested(from, b.FileRequest)
+	case *peerpb.Frame_CrashReport:
+		s.crashReported(b.CrashReport)
+	case *peerpb.Frame_Leaving:
+		s.peerLeaving(from)
+	}
+}
+
+// tick lets everything that waits for time go on.
+func (s *State) tick() {
+	s.checkPeers()
+	s.sendHeartbeats()
+	s.tickRounds()
+	s.tickRequests()
+	s.tickQueues()
+	s.tickEndpoints()
+	s.tickClosures()
+	s.tickRecords()
+	s.tickSuspects()
+	s.checkReady()
+	s.checkStopped()
+}
+
+func (s *State) emit(e Effect) { s.out = append(s.out, e) }
+
+// send delivers a frame to a peer, or to this instance within the same Step.
+func (s *State) send(to Incarnation, f *peerpb.Frame) {
+	f.From = uint64(s.cfg.Incarnation)
+	if to == s.cfg.Incarnation {
+		s.local = append(s.local, f)
+		return
+	}
+	s.emit(Send{To: to, Frame: f})
+}
+
+func (s *State) count(c Counter, label string, n int64) {
+	s.emit(Counted{Counter: c, Label: label, Delta: n})
+}
+
+func (s *State) log(event string, fields ...any) {
+	s.emit(Logged{Event: event, Fields: fields})
+}
+
+// refuse gives one waiter its final answer.
+func (s *State) refuse(w Waiter, id RequestID, r refusal.Reason, retryAfter time.Duration) {
+	k, _ := refusal.Lookup(r)
+	if retryAfter < k.RetryAfter {
+		retryAfter = k.RetryAfter
+	}
+	if retryAfter > 0 {
+		retryAfter = s.spread(retryAfter, uint64(w))
+	}
+	s.count(CounterRefusals, string(r), 1)
+	s.emit(Refuse{Waiter: w, Request: id, Refused: Refused{Reason: r, RetryAfter: retryAfter}})
+}
+
+// spread lengthens d by up to half, differently for each caller, so that
+// refused callers do not come back together.
+func (s *State) spread(d time.Duration, seed uint64) time.Duration {
+	h := mix(seed ^ uint64(s.cfg.Incarnation))
+	return d + time.Duration(h%1024)*d/2048
+}
+
+// mix is a finaliser of SplitMix64: a bijection that spreads its input over
+// all 64 bits.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// rank returns the rank of a tier in the file in force, or zero.
+func (s *State) rank(tier string) int { return s.tierRank[tier] }
+
+// lowestRank is the numerically largest rank: the first to be shed.
+func (s *State) lowestRank() int { return len(s.tierRank) }
