--- /dev/null
+++ b/cmd/balsamd/main.go
@@ -0,0 +1,54 @@
+// Command balsamd is the daemon that every entry instance runs.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/balsamstair/balsamstair/internal/logline"
+	"github.com/balsamstair/balsamstair/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	path := flag.String("settings", "", "`file` with the instance's settings (TOML)")
+	level := flag.String("log-level", "info", "least `level` that is logged: debug, info, warn or error")
+	flag.Parse()
+	if *path == "" || flag.NArg() > 0 || !logline.ValidLevel(*level) {
+		flag.Usage()
+		return exitSettings
+	}
+	set, err := settings.Load(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "balsamd:", err)
+		return exitSettings
+	}
+	log := logline.New(os.Stderr, *level)
+	for _, w := range set.Warnings {
+		log.Warn("setting", "key", w.Key, "message", w.Message)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	d, err := newDaemon(set, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "balsamd:", err)
+		return exitSettings
+	}
+	if err := d.run(ctx); err != nil {
+		log.Error("failed", "error", err.Error())
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/control/bridge.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"github.com/balsamstair/balsamstair/internal/declared"
+	"github.com/balsamstair/balsamstair/internal/logline"
+	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+	"github.com/balsamstair/balsamstair/internal/reducer"
+)
+
+// Peers sends to other instances without blocking.
+type Peers interface {
+	Connect(address string)
+	Send(to uint64, f *peerpb.Frame) bool
+	Close(to uint64)
+}
+
+// PeerCarrier carries out effects towards peers.
+type PeerCarrier struct {
+	Peers Peers
+	// Dropped is called for each frame that could not be queued.
+	Dropped func()
+}
+
+// Carry implements Carrier.
+func (c *PeerCarrier) Carry(e reducer.Effect) bool {
+	switch e := e.(type) {
+	case reducer.Send:
+		if !c.Peers.Send(uint64(e.To), e.Frame) {
+			c.Dropped()
+		}
+	case reducer.ConnectPeer:
+		c.Peers.Connect(e.Instance.PeerAddress)
+	case reducer.ClosePeer:
+		c.Peers.Close(uint64(e.Peer))
+	default:
+		return false
+	}
+	return true
+}
+
+// PeerEvents turns what peers send into events.
+type PeerEvents struct {
+	Post func(reducer.Event)
+	Log  *logline.Logger
+}
+
+// PeerUp implements peer.Handler.
+func (p *PeerEvents) PeerUp(incarnation uint64, hello *peerpb.Hello) {
+	p.Post(reducer.PeerUp{Peer: reducer.Incarnation(incarnation), Hello: hello})
+}
+
+// PeerDown implements peer.Handler.
+func (p *PeerEvents) PeerDown(incarnation uint64) {
+	p.Post(reducer.PeerDown{Peer: reducer.Incarnation(incarnation)})
+}
+
+// Message implements peer.Handler. A file is parsed here, off the control
+// goroutine, and offered like one that came from the platform.
+func (p *PeerEvents) Message(from uint64, f *peerpb.Frame) {
+	if reply := f.GetFileReply(); reply != nil {
+		OfferFile(p.Post, p.Log, "peer", reply.GetManifest(), reply.GetParts())
+		return
+	}
+	p.Post(reducer.PeerMessage{From: reducer.Incarnation(from), Frame: f})
+}
+
+// OfferFile parses published bytes and offers the file if it is valid; a bad
+// file changes nothing and is logged.
+func OfferFile(post func(reducer.Event), log *logline.Logger, source string, manifest []byte, parts [][]byte) {
+	f, err := declared.Assemble(manifest, parts)
+	if err != nil {
+		log.Warn("file_refused", "source", source, "error", err.Error())
+		return
+	}
+	post(reducer.FileOffered{File: f, Manifest: manifest, Parts: parts, Source: source})
+}
+
+// Counters adds to published counters.
+type Counters interface {
+	Add(counter, label string, n int64)
+}
+
+// Observer carries out logging and counting.
+type Observer struct {
+	Counters Counters
+	Log      *logline.Logger
+}
+
+// Carry implements Carrier.
+func (o *Observer) Carry(e reducer.Effect) bool {
+	switch e := e.(type) {
+	case reducer.Counted:
+		o.Counters.Add(string(e.Counter), e.Label, e.Delta)
+	case reducer.Logged:
+		o.Log.Event(e.Event, e.Fields...)
+	default:
+		return false
+	}
+	return true
+}
--- a/internal/reducer/queue.go
+++ b/internal/reducer/queue.go
@@ -41,8 +41,9 @@
 	// declared counts slots of the zone.
 	declared int
 
-	closure closure
-	raising raising
+	// closedUntil ends each tier's closure; index 0 is rank 1.
+	closedUntil []Instant
+	raising     raising
 
 	// serviceError is the learnt ratio of measured to estimated time.
 	serviceError float64
@@ -111,6 +112,7 @@
 func (p *pool) setTiers(n int) {
 	for len(p.tiers) < n {
 		p.tiers = append(p.tiers, &tierQueue{organisations: map[string]*organisationQueue{}})
+		p.closedUntil = append(p.closedUntil, 0)
 	}
 }
 
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -213,6 +213,11 @@
 	if p := s.peers[owner]; p != nil {
 		p.sent[r.req.Pool]++
 	}
+	// After a pause the round is as old as the pause: a grant of it would be
+	// useless when it comes, and asking again would never end.
+	if s.now.Sub(s.roundTimes[s.round%roundMemory]) >= RenewInterval {
+		s.beginRound()
+	}
 	left := max(0, r.deadline.Sub(s.now))
 	s.send(owner, &peerpb.Frame{Body: &peerpb.Frame_Ask{Ask: &peerpb.Ask{
 		Request: uint64(r.id), Round: s.round, Pool: r.req.Pool,
@@ -320,9 +325,10 @@
 // tickRounds renews every place in a queue, one message an owner.
 func (s *State) tickRounds() {
 	s.tickHeld()
-	if s.now.Sub(s.roundTimes[s.round%roundMemory]) < RenewInterval {
+	if s.now.Sub(s.renewedAt) < RenewInterval {
 		return
 	}
+	s.renewedAt = s.now
 	s.beginRound()
 	byOwner := map[Incarnation][]uint64{}
 	for _, id := range s.sortedRequests() {
@@ -463,6 +469,7 @@
 	}
 	s.settle(r, 0)
 	s.remember(r, notRun, false)
+	s.emit(Forget{Request: r.id})
 	s.drop(r)
 }
 
--- a/internal/reducer/shed.go
+++ b/internal/reducer/shed.go
@@ -17,17 +17,14 @@
 	shedDeadline
 )
 
-// closure refuses everything of a pool at or below a rank.
-type closure struct {
-	rank  int
-	until Instant
-}
-
 // raising is this instance's own request that peers close tiers of a pool.
 // The right that a confirmation gives runs from the moment of asking, the
 // closure at the peer from receipt: the right always ends first.
 type raising struct {
+	// rank is the closure asked for now; it goes down one by one from the
+	// lowest tier to wanted.
 	rank      int
+	wanted    int
 	round     uint64
 	askedAt   Instant
 	wantedAt  Instant
@@ -41,7 +38,7 @@
 
 // closed reports whether new work of that rank is refused for the pool.
 func (s *State) closed(p *pool, rank int) bool {
-	return p.closure.rank != 0 && rank >= p.closure.rank && s.now < p.closure.until
+	return p != nil && rank <= len(p.closedUntil) && s.now < p.closedUntil[rank-1]
 }
 
 // admit decides on an entry that had to queue.
@@ -106,9 +103,15 @@
 	if s.holdsWaiting(p.name, rank+1) || !s.closed(p, rank+1) {
 		return false
 	}
+	return s.confirmedByAll(p, rank+1)
+}
+
+// confirmedByAll reports whether every live peer has closed that rank for at
+// least as long as the confirmations run.
+func (s *State) confirmedByAll(p *pool, rank int) bool {
 	for _, peer := range s.livePeers() {
 		c, ok := p.raising.confirmed[peer.id]
-		if !ok || c.rank > rank+1 || s.now >= c.until {
+		if !ok || c.rank > rank || s.now >= c.until {
 			return false
 		}
 	}
@@ -126,58 +129,75 @@
 	return false
 }
 
-// requestClosure closes the ranks here and asks every live peer to.
+// requestClosure closes the tiers from the lowest up to rank, one after the
+// other: the next only after every live peer has confirmed the one below, so
+// that no tier is refused anywhere while a lower one waits elsewhere.
 func (s *State) requestClosure(p *pool, rank int) {
-	now := s.now
-	p.raising.wantedAt = now
-	lower := p.raising.rank != 0 && rank >= p.raising.rank
-	if lower && now.Sub(p.raising.askedAt) < CloseRenewInterval {
+	r := &p.raising
+	r.wantedAt = s.now
+	if r.rank == 0 {
+		r.rank, r.wanted = s.lowestRank(), rank
+		r.confirmed = map[Incarnation]confirmation{}
+		s.log("tier_close", "pool", p.name, "rank", rank)
+		s.askClosure(p)
 		return
 	}
-	if p.raising.rank == 0 || rank < p.raising.rank {
-		p.raising.rank = rank
-		p.raising.confirmed = map[Incarnation]confirmation{}
-		s.log("tier_close", "pool", p.name, "rank", rank)
+	r.wanted = min(r.wanted, rank)
+	s.raiseFurther(p)
+}
+
+// raiseFurther goes to the next tier once the present one is closed
+// everywhere.
+func (s *State) raiseFurther(p *pool) {
+	for p.raising.rank > p.raising.wanted && s.confirmedByAll(p, p.raising.rank) {
+		p.raising.rank--
+		s.askClosure(p)
 	}
-	p.raising.askedAt = now
-	p.raising.round++
-	s.closeTier(p.name, p.raising.rank, CloseLease)
+}
+
+// askClosure closes the present rank here and asks every live peer to.
+func (s *State) askClosure(p *pool) {
+	r := &p.raising
+	r.askedAt = s.now
+	r.round++
+	s.closeTier(p.name, r.rank, CloseLease)
 	for _, peer := range s.livePeers() {
 		s.send(peer.id, &peerpb.Frame{Body: &peerpb.Frame_TierClose{TierClose: &peerpb.TierClose{
-			Pool: p.name, Rank: uint32(p.raising.rank), Round: p.raising.round,
+			Pool: p.name, Rank: uint32(r.rank), Round: r.round,
 			LeaseMs: uint32(CloseLease / time.Millisecond),
 		}}})
 	}
 }
 
-// closeTier puts a closure in force and refuses what it covers. Nothing of the
-// closed ranks waits here when it returns.
+// closeTier refuses everything of a pool at or below a rank, what waits and
+// what comes, for a lease. A closure covers every lower tier as well, so the
+// higher of the closed tiers always reopens first. Nothing of the closed ranks
+// waits here when it returns.
 func (s *State) closeTier(pool string, rank int, lease time.Duration) {
 	p := s.pools[pool]
-	if p == nil || rank < 2 || lease <= 0 {
+	if p == nil || rank < 2 || rank > len(p.closedUntil) || lease <= 0 {
 		return
 	}
-	lease = min(lease, CloseLease)
-	until := s.now.Add(lease)
-	if p.closure.rank == 0 || s.now >= p.closure.until || rank <= p.closure.rank {
-		p.closure = closure{rank: rank, until: max(until, p.closure.until)}
-	} else {
-		// A closure of fewer tiers never shortens one of more: the higher of
-		// the closed tiers reopens first, when its own lease ends.
-		p.closure.until = max(until, p.closure.until)
+	until := s.now.Add(min(lease, CloseLease))
+	for r := rank; r <= len(p.closedUntil); r++ {
+		p.closedUntil[r-1] = max(p.closedUntil[r-1], until)
 	}
-	s.refuseClosed(p)
+	s.refuseClosed(p, rank)
 }
 
-func (s *State) refuseClosed(p *pool) {
-	rank := p.closure.rank
-	for _, e := range sortedEntries(p) {
-		if e.rank >= rank {
-			s.decline(e, refusal.TierClosed, 0)
+// refuseClosed goes from the lowest tier up, in the order of shedding.
+func (s *State) refuseClosed(p *pool, rank int) {
+	for r := len(p.tiers); r >= rank; r-- {
+		if p.tiers[r-1].waiting > 0 {
+			for _, e := range sortedEntries(p) {
+				if e.rank == r {
+					s.decline(e, refusal.TierClosed, 0)
+				}
+			}
+		}
+		for _, id := range s.waitingIn(p.name, r) {
+			s.refuseRequest(s.requests[id], refusal.TierClosed, 0)
 		}
-	}
-	for _, id := range s.waitingIn(p.name, rank) {
-		s.refuseRequest(s.requests[id], refusal.TierClosed, 0)
 	}
 }
 
@@ -206,6 +226,7 @@
 		return
 	}
 	p.raising.confirmed[from] = confirmation{rank: int(c.GetRank()), until: p.raising.askedAt.Add(CloseLease)}
+	s.raiseFurther(p)
 	s.shedPending(p)
 }
 
@@ -246,10 +267,6 @@
 // tickClosures renews closures that are still wanted and lets the others end.
 func (s *State) tickClosures() {
 	for _, p := range s.poolOrder {
-		if p.closure.rank != 0 && s.now >= p.closure.until {
-			s.log("tier_open", "pool", p.name, "rank", p.closure.rank)
-			p.closure = closure{}
-		}
 		r := &p.raising
 		if r.rank == 0 {
 			continue
@@ -259,20 +276,33 @@
 			continue
 		}
 		if s.now.Sub(r.askedAt) >= CloseRenewInterval {
-			s.requestClosure(p, r.rank)
+			s.askClosure(p)
 		}
+		s.raiseFurther(p)
 	}
 }
 
-// closuresInForce goes with each heartbeat, so that a joining instance knows
-// them before it takes callers.
+// closuresInForce lists what this instance may hold a right to, for
+// heartbeats: a joining instance closes it before it takes callers. The lease
+// that is left runs again from receipt, and so ends after the right.
 func (s *State) closuresInForce() []*peerpb.TierClose {
 	var all []*peerpb.TierClose
 	for _, p := range s.poolOrder {
-		if p.raising.rank == 0 || s.now >= p.closure.until {
+		left := p.raising.askedAt.Add(CloseLease).Sub(s.now)
+		if p.raising.rank == 0 || left <= 0 {
 			continue
 		}
-		all = append(all, &peerpb.TierClose{Pool: p.name, Rank: uint32(p.raising.rank), LeaseMs: uint32(p.closure.until.Sub(s.now) / time.Millisecond)})
+		all = append(all, &peerpb.TierClose{Pool: p.name, Rank: uint32(p.raising.rank), LeaseMs: uint32(left/time.Millisecond) + 1})
 	}
 	return all
 }
+
+// closedFrom is the highest tier that is closed, as its rank, or zero.
+func (s *State) closedFrom(p *pool) int {
+	for rank := range p.closedUntil {
+		if s.closed(p, rank+1) {
+			return rank + 1
+		}
+	}
+	return 0
+}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -145,6 +145,7 @@
 
 	round      uint32
 	roundTimes [roundMemory]Instant
+	renewedAt  Instant
 	heldAt     Instant
 
 	buckets  map[string]*bucket
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -78,7 +78,7 @@
 		st.Endpoints = append(st.Endpoints, s.endpointStatus(e))
 	}
 	for _, p := range s.poolOrder {
-		ps := PoolStatus{Name: p.name, FreeSlots: s.freeSlots(p), ClosedFrom: p.closure.rank}
+		ps := PoolStatus{Name: p.name, FreeSlots: s.freeSlots(p), ClosedFrom: s.closedFrom(p)}
 		for _, t := range p.tiers {
 			ps.Waiting = append(ps.Waiting, t.waiting)
 		}
--- /dev/null
+++ b/internal/reducer/zone_rapid_test.go
@@ -0,0 +1,134 @@
+package reducer
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of drawn tests unless the command line names one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "60"} {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func drawRequest(t *rapid.T) Request {
+	q := Request{
+		Organisation: rapid.SampledFrom([]string{"big", "small"}).Draw(t, "organisation"),
+		Tier:         rapid.SampledFrom([]string{"gold", "silver", "bronze"}).Draw(t, "tier"),
+		Pool:         "chat", Idempotent: true,
+		PromptTokens: 100, OutputTokens: 50,
+		Fingerprint: rapid.Uint64Range(1, 1000).Draw(t, "fingerprint"),
+		Deadline:    time.Duration(rapid.IntRange(500, 8000).Draw(t, "deadline")) * time.Millisecond,
+	}
+	if rapid.IntRange(0, 3).Draw(t, "service") == 0 {
+		q.Pool, q.Idempotent, q.Tier = "bookings", false, "gold"
+	}
+	return q
+}
+
+// act draws one action: mostly load and time, sometimes a fault.
+func (z *zone) act(t *rapid.T) {
+	live := z.live()
+	m := live[rapid.IntRange(0, len(live)-1).Draw(t, "member")]
+	switch k := rapid.IntRange(0, 19).Draw(t, "action"); {
+	case k < 7:
+		for range rapid.IntRange(1, 6).Draw(t, "burst") {
+			z.submit(m, drawRequest(t))
+		}
+	case k < 10:
+		z.resend(t, m)
+	case k == 10 && len(live) > 1:
+		z.kill(m)
+		z.start(m.name)
+	case k == 11:
+		z.pause(m)
+	case k == 12 && m.paused:
+		z.resume(m)
+	case k == 13 && len(live) > 1:
+		o := live[rapid.IntRange(0, len(live)-1).Draw(t, "other")]
+		if o != m {
+			z.setCut(m, o, !z.isCut(m, o))
+		}
+	case k == 14:
+		z.file = parseZoneFile(int(z.file.Revision)+1, 3)
+		m.post(FileOffered{File: z.file, Source: "platform"})
+	case k == 15:
+		// Another operator publishes at the same time, or an old value returns.
+		racing := parseZoneFile(rapid.IntRange(1, int(z.file.Revision)).Draw(t, "revision"), 2)
+		if racing.Newer(z.file) {
+			z.file = racing
+		}
+		m.post(FileOffered{File: racing, Source: "platform"})
+	case k == 16:
+		z.down["e0"] = !z.down["e0"]
+	case k == 17 && len(live) > 2 && !m.paused && !m.stopping:
+		m.stopping = true
+		m.post(StopRequested{})
+		z.start(m.name + "n")
+	}
+	z.advance(time.Duration(rapid.IntRange(0, 600).Draw(t, "wait")) * time.Millisecond)
+}
+
+// resend sends a ticket again: fresh, running, ended or burned.
+func (z *zone) resend(t *rapid.T, m *member) {
+	if len(m.tickets) == 0 {
+		q := drawRequest(t)
+		q.Pool, q.Idempotent, q.Tier = "bookings", false, "gold"
+		z.submit(m, q)
+		return
+	}
+	ticket := m.tickets[rapid.IntRange(0, len(m.tickets)-1).Draw(t, "ticket")]
+	q, used := m.ticketFor[ticket.Request]
+	if !used {
+		q = drawRequest(t)
+		q.Pool, q.Idempotent, q.Tier = "bookings", false, "gold"
+		q.Ticket = ticket
+		m.ticketFor[ticket.Request] = q
+	}
+	z.submit(m, q)
+	if rapid.Bool().Draw(t, "twice") {
+		z.submit(m, q)
+	}
+}
+
+// TestZoneKeepsPromises drives three instances through drawn load and faults
+// and checks every promise after each step.
+func TestZoneKeepsPromises(t *testing.T) {
+	covered := map[string]int{}
+	steps := 0
+	rapid.Check(t, func(t *rapid.T) {
+		z := newZone(3, 3, Guards{})
+		z.advance(4 * time.Second)
+		n := rapid.IntRange(10, 40).Draw(t, "actions")
+		for range n {
+			z.act(t)
+			if z.violation != "" {
+				t.Fatal(z.violation)
+			}
+		}
+		z.settle()
+		z.checkSettled()
+		if z.violation != "" {
+			t.Fatal(z.violation)
+		}
+		for k, v := range z.events {
+			covered[k] += v
+			steps += v
+		}
+	})
+	t.Log("events:", steps, fmt.Sprint(covered))
+}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -224,10 +224,6 @@
 func (x *Exchange) refuse(e reducer.Refuse) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if r := x.runs[e.Request]; r != nil && !r.journal.kept() {
-		delete(x.runs, e.Request)
-		go r.abandon()
-	}
 	w := x.waiters[e.Waiter]
 	if w == nil {
 		return
@@ -243,10 +239,15 @@
 	w.reader.journal.end(errRefused)
 }
 
+// forget drops a run: its answer is no longer kept, or there never was one.
 func (x *Exchange) forget(id reducer.RequestID) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
+	r := x.runs[id]
 	delete(x.runs, id)
+	x.mu.Unlock()
+	if r != nil {
+		go r.abandon()
+	}
 }
 
 // run is one admitted request.
@@ -259,6 +260,8 @@
 	mu      sync.Mutex
 	conn    *endpoint.Conn
 	address string
+	// endpoint is the name of where the run was dispatched.
+	endpoint string
 	cancel  context.CancelFunc
 	stopped bool
 }
@@ -330,7 +333,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r.mu.Lock()
-	r.cancel = cancel
+	r.cancel, r.endpoint = cancel, e.Endpoint
 	r.mu.Unlock()
 	conn := r.takeConn()
 	if conn == nil || boottime.Now() >= int64(e.NotAfter) {
@@ -375,7 +378,6 @@
 	r.exchange.cfg.Post(reducer.DispatchDone{Request: r.id, Result: res})
 	if res.Ended == reducer.EndedBroken || res.Ended == reducer.EndedCancelled {
 		r.exchange.forget(r.id)
-		r.journal.end(errRefused)
 	}
 }
 
@@ -385,7 +387,7 @@
 		return r.recordEvents(ctx, a, started)
 	}
 	defer a.Body.Close()
-	r.journal.begin(a.Status, a.Header)
+	r.begin(a)
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := a.Body.Read(buf)
@@ -412,13 +414,23 @@
 	return res
 }
 
+// EndpointHeader tells a caller which endpoint served it.
+const EndpointHeader = "Balsam-Endpoint"
+
+// begin opens the journal with the head of the answer.
+func (r *run) begin(a *endpoint.Answer) {
+	header := a.Header.Clone()
+	header.Set(EndpointHeader, r.endpoint)
+	r.journal.begin(a.Status, header)
+}
+
 // resumeTries bounds how often one run's stream is resumed.
 const resumeTries = 3
 
 // recordEvents copies an event stream; a cut one is resumed at the endpoint,
 // which is not a dispatch.
 func (r *run) recordEvents(ctx context.Context, a *endpoint.Answer, started time.Time) reducer.Result {
-	r.journal.begin(a.Status, a.Header)
+	r.begin(a)
 	res := reducer.Result{}
 	events := 0
 	for try := 0; ; try++ {
--- a/internal/traffic/journal.go
+++ b/internal/traffic/journal.go
@@ -111,11 +111,14 @@
 	j := r.journal
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for !j.began && !j.ended {
+	for !j.began && !j.ended && j.readers[r] {
 		j.changed.Wait()
 	}
 	if !j.began {
-		return 0, nil, j.err
+		if j.err != nil {
+			return 0, nil, j.err
+		}
+		return 0, nil, io.ErrClosedPipe
 	}
 	return j.status, j.header, nil
 }
