--- a/internal/declared/file.go
+++ b/internal/declared/file.go
@@ -19,6 +19,7 @@
 	Organisations []Organisation `toml:"organisation"`
 
 	digest Digest
+	index  *index
 }
 
 // Tier is one level of importance.
@@ -50,6 +51,10 @@
 	// endpoint; zero for services.
 	PrefillTokensPerSecond int64 `toml:"prefill_tokens_per_second"`
 	DecodeTokensPerSecond  int64 `toml:"decode_tokens_per_second"`
+	// CachedTokensPerSecond bounds the prompt tokens that one endpoint can
+	// take from its prefix cache; zero means that nothing bounds them but the
+	// spend of organisations.
+	CachedTokensPerSecond int64 `toml:"cached_tokens_per_second"`
 	// CallsPerSecond is the rate of one service endpoint; zero for engines.
 	CallsPerSecond int64 `toml:"calls_per_second"`
 	// Prices are in millionths of the currency: per million tokens for
@@ -128,23 +133,3 @@
 	}
 	return string(f.digest[:]) > string(g.digest[:])
 }
-
-// Tier returns the tier of that name, or nil.
-func (f *File) Tier(name string) *Tier {
-	for i := range f.Tiers {
-		if f.Tiers[i].Name == name {
-			return &f.Tiers[i]
-		}
-	}
-	return nil
-}
-
-// Class returns the class of that name, or nil.
-func (f *File) Class(name string) *Class {
-	for i := range f.Classes {
-		if f.Classes[i].Name == name {
-			return &f.Classes[i]
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/declared/price.go
@@ -0,0 +1,101 @@
+package declared
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+const (
+	monthSeconds   = int64(Month / time.Second)
+	tokensPerPrice = 1_000_000
+)
+
+// Price returns what one request costs at an endpoint of class c, in
+// millionths of the currency, rounded up. prompt counts all prompt tokens, of
+// which cached were taken from the prefix cache. A service costs its price
+// for a call whatever the tokens.
+func (c *Class) Price(prompt, cached, output int) int64 {
+	if c.Kind == KindService {
+		return c.CallMicros
+	}
+	prompt, output = max(prompt, 0), max(output, 0)
+	cached = min(max(cached, 0), prompt)
+	return c.tokenPrice(int64(prompt-cached), int64(cached), int64(output))
+}
+
+// tokenPrice returns the price of tokens by kind, rounded up, at most
+// math.MaxInt64.
+func (c *Class) tokenPrice(prefill, cached, generated int64) int64 {
+	var sum wide
+	sum.addProduct(prefill, c.PrefillMicrosPerMTok)
+	sum.addProduct(cached, c.CachedMicrosPerMTok)
+	sum.addProduct(generated, c.GeneratedMicrosPerMTok)
+	sum.add(tokensPerPrice - 1)
+	return sum.divide(tokensPerPrice)
+}
+
+// monthMicros returns the most that one endpoint of class c can cost in a
+// month: every rate used to the full, at once, for all of the month. The
+// part for cached tokens is left out unless cached is set.
+func (c *Class) monthMicros(cached bool) int64 {
+	if c.Kind == KindService {
+		return saturatingProduct(c.CallsPerSecond*monthSeconds, c.CallMicros)
+	}
+	cachedRate := int64(0)
+	if cached {
+		if c.cachedUnbounded() {
+			return math.MaxInt64
+		}
+		cachedRate = c.CachedTokensPerSecond
+	}
+	return c.tokenPrice(c.PrefillTokensPerSecond*monthSeconds, cachedRate*monthSeconds, c.DecodeTokensPerSecond*monthSeconds)
+}
+
+// cachedUnbounded reports whether cached tokens cost something and no rate
+// bounds them.
+func (c *Class) cachedUnbounded() bool {
+	return c.CachedMicrosPerMTok > 0 && c.CachedTokensPerSecond == 0
+}
+
+// wide is an unsigned number of 128 bits.
+type wide struct{ hi, lo uint64 }
+
+// addProduct adds a×b, neither of which may be negative.
+func (w *wide) addProduct(a, b int64) {
+	hi, lo := bits.Mul64(uint64(a), uint64(b))
+	var carry uint64
+	w.lo, carry = bits.Add64(w.lo, lo, 0)
+	w.hi, _ = bits.Add64(w.hi, hi, carry)
+}
+
+func (w *wide) add(n uint64) {
+	var carry uint64
+	w.lo, carry = bits.Add64(w.lo, n, 0)
+	w.hi += carry
+}
+
+// divide returns w/d rounded down, at most math.MaxInt64.
+func (w wide) divide(d uint64) int64 {
+	if w.hi >= d {
+		return math.MaxInt64
+	}
+	q, _ := bits.Div64(w.hi, w.lo, d)
+	return int64(min(q, math.MaxInt64))
+}
+
+// saturatingProduct returns a×b, at most math.MaxInt64; neither may be
+// negative.
+func saturatingProduct(a, b int64) int64 {
+	var w wide
+	w.addProduct(a, b)
+	return w.divide(1)
+}
+
+// saturatingSum returns a+b, at most math.MaxInt64; neither may be negative.
+func saturatingSum(a, b int64) int64 {
+	if a > math.MaxInt64-b {
+		return math.MaxInt64
+	}
+	return a + b
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,25 +1,24 @@
 // Package settings reads one process's own settings: its addresses, its
 // availability zone, its certificates and its limits. Unknown keys and host
-// names are errors.
+// names are errors; all errors of a file are reported together.
 package settings
 
 import (
-	"bytes"
-	"net/netip"
 	"os"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/strict"
 	"github.com/cockroachdb/errors"
-	"github.com/pelletier/go-toml/v2"
 )
 
-// Settings are the settings of one instance. The zero value is not valid; use
-// Load or Parse.
+// Settings are the settings of one instance. Load and Parse return them
+// checked; the zero value is not valid.
 type Settings struct {
 	// Instance is the name under which the platform lists the process.
 	Instance         string `toml:"instance"`
 	AvailabilityZone string `toml:"availability_zone"`
-	// The addresses are IP numbers with ports.
+	// The addresses are IP numbers with ports. The process listens at the
+	// first three; PlatformAddress is where the platform listens.
 	CallerAddress   string `toml:"caller_address"`
 	PeerAddress     string `toml:"peer_address"`
 	OperatorAddress string `toml:"operator_address"`
@@ -30,14 +29,16 @@
 	TLS            TLS    `toml:"tls"`
 	Limits         Limits `toml:"limits"`
 
-	// Warnings lists what is permitted but leaves something open.
+	// Warnings lists what is permitted but open to others. A daemon logs them
+	// at its start.
 	Warnings []Warning `toml:"-"`
 }
 
 // TLS names PEM files. A listener without files speaks plaintext.
 type TLS struct {
-	CallerCertificateFile   string `toml:"caller_certificate_file"`
-	CallerKeyFile           string `toml:"caller_key_file"`
+	CallerCertificateFile string `toml:"caller_certificate_file"`
+	CallerKeyFile         string `toml:"caller_key_file"`
+	// Peers authenticate each other by certificates of PeerCAFile.
 	PeerCertificateFile     string `toml:"peer_certificate_file"`
 	PeerKeyFile             string `toml:"peer_key_file"`
 	PeerCAFile              string `toml:"peer_ca_file"`
@@ -45,41 +46,58 @@
 	OperatorKeyFile         string `toml:"operator_key_file"`
 }
 
+// Caller reports whether the caller listener speaks TLS.
+func (t *TLS) Caller() bool { return t.CallerCertificateFile != "" }
+
+// Peer reports whether peers authenticate each other by mutual TLS.
+func (t *TLS) Peer() bool { return t.PeerCertificateFile != "" }
+
+// Operator reports whether the operator listener speaks TLS.
+func (t *TLS) Operator() bool { return t.OperatorCertificateFile != "" }
+
 // Limits bound what callers can make the process hold.
 type Limits struct {
-	HeaderBytes        int   `toml:"header_bytes"`
-	BodyBytes          int64 `toml:"body_bytes"`
-	ConcurrentRequests int   `toml:"concurrent_requests"`
-	// IdleTimeoutMS bounds the time between two reads or writes, in
+	// HeaderBytes and BodyBytes bound one request.
+	HeaderBytes int   `toml:"header_bytes"`
+	BodyBytes   int64 `toml:"body_bytes"`
+	// BodiesBytes bounds the bodies of all requests together.
+	BodiesBytes int64 `toml:"bodies_bytes"`
+	// ConcurrentRequests bounds the requests held at a time.
+	ConcurrentRequests int `toml:"concurrent_requests"`
+	// IdleTimeoutMS bounds the time between two reads or two writes, in
 	// milliseconds.
 	IdleTimeoutMS int64 `toml:"idle_timeout_ms"`
 	// KeptAnswerBytes bounds all answers kept for repeated requests together,
-	// KeptAnswerMS the time that each is kept.
+	// KeptAnswerMS the milliseconds for which each is kept.
 	KeptAnswerBytes int64 `toml:"kept_answer_bytes"`
 	KeptAnswerMS    int64 `toml:"kept_answer_ms"`
 }
 
 // IdleTimeout returns IdleTimeoutMS as a duration.
-func (l Limits) IdleTimeout() time.Duration {
+func (l *Limits) IdleTimeout() time.Duration {
 	return time.Duration(l.IdleTimeoutMS) * time.Millisecond
 }
 
 // KeptAnswer returns KeptAnswerMS as a duration.
-func (l Limits) KeptAnswer() time.Duration {
+func (l *Limits) KeptAnswer() time.Duration {
 	return time.Duration(l.KeptAnswerMS) * time.Millisecond
 }
 
-// Warning says that a setting leaves something open.
+// Warning says that a setting leaves something open to others.
 type Warning struct {
 	Key     string
 	Message string
 }
 
+// String returns the warning as one line of text.
+func (w Warning) String() string { return w.Key + ": " + w.Message }
+
 // Defaults returns the settings that hold where a file is silent.
 func Defaults() Settings {
 	return Settings{Limits: Limits{
 		HeaderBytes:        16 << 10,
-		BodyBytes:          4 << 20,
+		BodyBytes:          2 << 20,
+		BodiesBytes:        64 << 20,
 		ConcurrentRequests: 2048,
 		IdleTimeoutMS:      60_000,
 		KeptAnswerBytes:    8 << 20,
@@ -87,7 +105,8 @@
 	}}
 }
 
-// Load reads and checks the settings in the file at path.
+// Load reads and checks the settings in the file at path. What Parse refuses
+// it refuses with the same *strict.Error, the path put before it.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -97,48 +116,20 @@
 	return s, errors.Wrap(err, path)
 }
 
-// Parse checks settings given as TOML.
+// Parse returns the settings that data holds, or a *strict.Error with every
+// problem that it has.
 func Parse(data []byte) (Settings, error) {
-	s := Defaults()
-	d := toml.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return Settings{}, err
+	const maxFileBytes = 1 << 20
+	if len(data) > maxFileBytes {
+		return Settings{}, &strict.Error{Problems: []strict.Problem{{Line: 1, Reason: "settings are larger than a megabyte"}}}
 	}
-	if s.Instance == "" || s.AvailabilityZone == "" {
-		return Settings{}, errors.New("instance and availability_zone are needed")
+	s := Defaults()
+	report := strict.Decode(data, &s)
+	if !report.Broken {
+		s.validate(report)
 	}
-	for _, l := range s.listeners() {
-		if err := l.check(s.AllowPlaintext); err != nil {
-			return Settings{}, err
-		}
+	if err := report.Err(); err != nil {
+		return Settings{}, err
 	}
 	return s, nil
 }
-
-type listener struct {
-	key     string
-	address string
-	tls     bool
-	listens bool
-}
-
-func (s *Settings) listeners() []listener {
-	return []listener{
-		{"caller_address", s.CallerAddress, s.TLS.CallerCertificateFile != "", true},
-		{"peer_address", s.PeerAddress, s.TLS.PeerCertificateFile != "", true},
-		{"operator_address", s.OperatorAddress, s.TLS.OperatorCertificateFile != "", true},
-		{"platform_address", s.PlatformAddress, false, false},
-	}
-}
-
-func (l listener) check(allowPlaintext bool) error {
-	a, err := netip.ParseAddrPort(l.address)
-	if err != nil {
-		return errors.Newf("%s: %q is not an IP number with a port", l.key, l.address)
-	}
-	if l.listens && !l.tls && !allowPlaintext && !a.Addr().IsLoopback() {
-		return errors.Newf("%s: without TLS it must be a loopback address, or allow_plaintext = true", l.key)
-	}
-	return nil
-}
