--- /dev/null
+++ b/internal/declared/manifest_test.go
@@ -0,0 +1,94 @@
+package declared
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// published splits data in parts of size bytes and returns them with their
+// manifest.
+func published(t *testing.T, data []byte, size int) (*Manifest, [][]byte) {
+	t.Helper()
+	var parts [][]byte
+	var b strings.Builder
+	b.WriteString("manifest = true\nrevision = 1\n")
+	for start := 0; start < len(data); start += size {
+		part := data[start:min(start+size, len(data))]
+		parts = append(parts, part)
+		fmt.Fprintf(&b, "[[part]]\nkey = \"part-%d\"\nsha256 = \"%x\"\n", len(parts), sha256.Sum256(part))
+	}
+	must.True(t, IsManifest([]byte(b.String())))
+	m, err := ParseManifest([]byte(b.String()))
+	must.NoError(t, err)
+	return m, parts
+}
+
+func TestAssembleIsTheWholeFile(t *testing.T) {
+	data := readExample(t, "kalahari")
+	m, parts := published(t, data, 1000)
+	must.Greater(t, 5, len(parts))
+	f, err := Assemble(m, parts)
+	must.NoError(t, err)
+	whole, err := Parse(data)
+	must.NoError(t, err)
+	must.Eq(t, whole.Digest(), f.Digest())
+	must.Len(t, 0, Diff(whole, f))
+	must.False(t, IsManifest(data))
+}
+
+func TestAssembleRefusesAWrongSet(t *testing.T) {
+	data := readExample(t, "kalahari")
+	m, parts := published(t, data, 1000)
+	changed := append([]byte("#"), parts[2]...)
+	for name, set := range map[string][][]byte{
+		"missing": parts[:len(parts)-1],
+		"surplus": append(append([][]byte{}, parts...), parts[0]),
+		"changed": append(append(append([][]byte{}, parts[:2]...), changed), parts[3:]...),
+		"swapped": append([][]byte{parts[1], parts[0]}, parts[2:]...),
+	} {
+		f, err := Assemble(m, set)
+		must.Error(t, err, must.Sprint(name))
+		must.Nil(t, f)
+	}
+	_, err := Assemble(m, append(append(append([][]byte{}, parts[:2]...), changed), parts[3:]...))
+	must.Eq(t, []Problem{{Line: 1, Key: "part-3", Reason: "the part's bytes are not those whose digest the manifest lists"}}, problemsOf(t, err))
+	m.Revision = 2
+	_, err = Assemble(m, parts)
+	must.ErrorContains(t, err, "the file's revision is 1 and the manifest's 2")
+}
+
+func TestParseManifestReportsAllProblems(t *testing.T) {
+	_, err := ParseManifest([]byte("manifest = false\nrevison = 1\n[[part]]\nkey = \"../a\"\nsha256 = \"00\"\n[[part]]\nkey = \"b\"\nsha256 = \"" +
+		strings.Repeat("00", 32) + "\"\n[[part]]\nkey = \"b\"\nsha256 = \"" + strings.Repeat("00", 32) + "\"\n"))
+	var lines []string
+	for _, p := range problemsOf(t, err) {
+		lines = append(lines, p.String())
+	}
+	must.Eq(t, []string{
+		"line 1: manifest: must be true",
+		"line 1: revision: is missing; revisions count from 1",
+		"line 2: revison: unknown key; known are manifest, part, revision",
+		`line 4: part.key: "../a" cannot be the key of a part`,
+		"line 5: part.sha256: is not a SHA-256 digest of 64 hexadecimal digits",
+		`line 10: part.key: "b" is listed twice, first on line 7`,
+	}, lines)
+	_, err = ParseManifest([]byte("manifest = true\nrevision = 1\n"))
+	must.ErrorContains(t, err, "lists 0 parts")
+}
+
+func TestPartsToFetchAreThoseThatChanged(t *testing.T) {
+	data := readExample(t, "piedmont")
+	held, parts := published(t, data, 1000)
+	must.Eq(t, held.Parts, PartsToFetch(nil, held))
+	must.Len(t, 0, PartsToFetch(held, held))
+	next := *held
+	next.Parts = append([]Part{}, held.Parts...)
+	next.Parts[1].SHA256 = fmt.Sprintf("%x", sha256.Sum256(append(parts[1], '#')))
+	// Bytes that are held under another key need not travel.
+	next.Parts[2].Key = "renamed"
+	must.Eq(t, []Part{next.Parts[1]}, PartsToFetch(held, &next))
+}
