--- a/cmd/balsamctl/diff.go
+++ b/cmd/balsamctl/diff.go
@@ -25,7 +25,9 @@
 	OldRevision uint64 `json:"old_revision"`
 	NewRevision uint64 `json:"new_revision"`
 	// Adopted says that an instance with the old file would take the new one.
-	Adopted bool              `json:"adopted"`
+	Adopted bool `json:"adopted"`
+	// Same says that the files are the same to the byte.
+	Same    bool              `json:"same"`
 	Changes []declared.Change `json:"changes"`
 }
 
@@ -50,6 +52,7 @@
 		OldRevision: old.Revision,
 		NewRevision: next.Revision,
 		Adopted:     next.Newer(old),
+		Same:        next.Digest() == old.Digest(),
 		Changes:     declared.Diff(old, next),
 	}
 	if *asJSON {
@@ -66,8 +69,13 @@
 	if len(d.Changes) == 0 {
 		fmt.Fprintln(io.out, "nothing changes")
 	}
-	if !d.Adopted {
-		fmt.Fprintf(io.err, "warning: instances that have revision %d would not adopt this file of revision %d; raise its revision\n",
+	switch {
+	case d.Same:
+	case d.NewRevision == d.OldRevision:
+		fmt.Fprintf(io.err, "warning: both files have revision %d, so that their digests decide which comes into force; raise the new one's revision\n",
+			d.NewRevision)
+	case !d.Adopted:
+		fmt.Fprintf(io.err, "warning: instances that have revision %d do not adopt revision %d; raise it\n",
 			d.OldRevision, d.NewRevision)
 	}
 }
--- a/internal/declared/manifest_test.go
+++ b/internal/declared/manifest_test.go
@@ -92,3 +92,65 @@
 	next.Parts[2].Key = "renamed"
 	must.Eq(t, []Part{next.Parts[1]}, PartsToFetch(held, &next))
 }
+
+// splitParts returns a split file's manifest and the bytes of its parts.
+func splitParts(t testing.TB, data string, partBytes int) (*Manifest, [][]byte, int) {
+	t.Helper()
+	values, err := Split([]byte(data), partBytes)
+	must.NoError(t, err)
+	last := values[len(values)-1]
+	must.Eq(t, Key, last.Key)
+	m, err := ParseManifest(last.Data)
+	must.NoError(t, err)
+	var parts [][]byte
+	for i, v := range values[:len(values)-1] {
+		must.Eq(t, m.Parts[i].Key, v.Key)
+		parts = append(parts, v.Data)
+	}
+	return m, parts, len(last.Data)
+}
+
+func TestSplitPartsAssembleAgain(t *testing.T) {
+	for _, name := range []string{"piedmont", "kalahari"} {
+		data := readExample(t, name)
+		m, parts, _ := splitParts(t, string(data), 1024)
+		must.Greater(t, 2, len(parts))
+		f, err := Assemble(m, parts)
+		must.NoError(t, err)
+		must.Eq(t, parseExample(t, name).Digest(), f.Digest())
+	}
+	_, err := Split(readExample(t, "piedmont"), 1)
+	must.ErrorContains(t, err, "are not between")
+}
+
+// One organisation altered, added or removed among 4,900, with the revision
+// raised, makes only a few parts travel.
+func TestChangeOfALargeFileTouchesFewParts(t *testing.T) {
+	data := organisationsFile(4900)
+	held, _, _ := splitParts(t, data, DefaultPartBytes)
+	must.Between(t, 50, len(held.Parts), 200)
+	raised := strings.Replace(data, "revision = 4900", "revision = 4901", 1)
+	header := "[[organisation]]\nname = \"organisation-2450\"\n"
+	at := strings.Index(raised, header)
+	end := at + strings.Index(raised[at+2:], "[[") + 2
+	for name, next := range map[string]string{
+		"altered": raised[:at] + strings.Replace(raised[at:], "t1 = 0", "t2 = 0", 1),
+		"removed": raised[:at] + raised[end:],
+		"added":   raised[:at] + "[[organisation]]\nname = \"another\"\ntiers = { t1 = 0 }\ndefault_tier = \"t1\"\n" + raised[at:],
+	} {
+		m, parts, manifestBytes := splitParts(t, next, DefaultPartBytes)
+		bytesOf := make(map[string]int)
+		for i, p := range m.Parts {
+			bytesOf[p.Key] = len(parts[i])
+		}
+		travels := manifestBytes
+		fetch := PartsToFetch(held, m)
+		for _, p := range fetch {
+			travels += bytesOf[p.Key]
+		}
+		t.Logf("%s: %d of %d parts, %d bytes with the manifest", name, len(fetch), len(m.Parts), travels)
+		// The part of the revision, that of the change, and one that it met.
+		must.Between(t, 2, len(fetch), 3)
+		must.Less(t, 64<<10, travels)
+	}
+}
--- a/internal/declared/parse_test.go
+++ b/internal/declared/parse_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -223,3 +224,25 @@
 		})
 	}
 }
+
+// BenchmarkRetained reports the memory that one parsed file keeps.
+func BenchmarkRetained(b *testing.B) {
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for _, n := range []int{49, 490, 4900} {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			data := []byte(organisationsFile(n))
+			for b.Loop() {
+				before := heap()
+				f, err := Parse(data)
+				must.NoError(b, err)
+				b.ReportMetric(float64(heap()-before), "retained-bytes")
+				runtime.KeepAlive(f)
+			}
+		})
+	}
+}
--- a/internal/strict/shape.go
+++ b/internal/strict/shape.go
@@ -1,61 +1,55 @@
 package strict
 
 import (
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
 )
 
-// shape is the keys that each struct below a root struct names.
+// shape is a Go type as far as documents can fill it.
 type shape struct {
-	root   reflect.Type
-	fields map[reflect.Type]map[string]field
+	kind reflect.Kind
+	// zero is a value of the type, by which the range of numbers is checked.
+	zero reflect.Value
+	// fields are the keys that a struct names.
+	fields map[string]field
+	// elem is the shape of the elements of a slice or map.
+	elem *shape
 }
 
 type field struct {
 	name  string
-	shape reflect.Type
+	shape *shape
 }
 
-func newShape(root reflect.Type) *shape {
-	s := &shape{root: root, fields: make(map[reflect.Type]map[string]field)}
-	s.learn(root)
-	return s
-}
-
-func (s *shape) learn(t reflect.Type) {
-	for t.Kind() == reflect.Slice || t.Kind() == reflect.Map {
-		t = t.Elem()
-	}
-	if t.Kind() != reflect.Struct || s.fields[t] != nil {
-		return
-	}
-	keys := make(map[string]field, t.NumField())
-	s.fields[t] = keys
-	for i := range t.NumField() {
-		f := t.Field(i)
-		if tag := f.Tag.Get("toml"); tag != "" && tag != "-" {
-			keys[tag] = field{tag, f.Type}
-			s.learn(f.Type)
+func newShape(t reflect.Type) *shape {
+	s := &shape{kind: t.Kind(), zero: reflect.Zero(t)}
+	switch s.kind {
+	case reflect.Slice, reflect.Map:
+		s.elem = newShape(t.Elem())
+	case reflect.Struct:
+		s.fields = make(map[string]field, t.NumField())
+		for i := range t.NumField() {
+			f := t.Field(i)
+			if tag := f.Tag.Get("toml"); tag != "" && tag != "-" {
+				s.fields[tag] = field{tag, newShape(f.Type)}
+			}
 		}
 	}
+	return s
 }
 
-// known returns the keys of t for people.
-func (s *shape) known(t reflect.Type) string {
-	keys := make([]string, 0, len(s.fields[t]))
-	for k := range s.fields[t] {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return strings.Join(keys, ", ")
+// known returns the keys of a struct for people.
+func (s *shape) known() string {
+	return strings.Join(slices.Sorted(maps.Keys(s.fields)), ", ")
 }
 
-// isTables reports whether t is an array of tables.
-func isTables(t reflect.Type) bool {
-	return t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Struct
+// isTables reports whether s is an array of tables.
+func (s *shape) isTables() bool {
+	return s.kind == reflect.Slice && s.elem.kind == reflect.Struct
 }
 
-func isTable(t reflect.Type) bool {
-	return t.Kind() == reflect.Struct || t.Kind() == reflect.Map
+func (s *shape) isTable() bool {
+	return s.kind == reflect.Struct || s.kind == reflect.Map
 }
--- a/internal/strict/walk.go
+++ b/internal/strict/walk.go
@@ -18,7 +18,7 @@
 
 	// The table that the last header opened; open is nil below a header that
 	// was refused.
-	open reflect.Type
+	open *shape
 	path Path
 	// elements counts the elements of each array of tables.
 	elements map[string]int
@@ -42,7 +42,7 @@
 type span struct{ start, end int }
 
 func newWalker(data []byte, s *shape) *walker {
-	w := &walker{shape: s, open: s.root, elements: make(map[string]int), line: 1}
+	w := &walker{shape: s, open: s, elements: make(map[string]int), line: 1}
 	w.parser.Reset(data)
 	return w
 }
@@ -174,17 +174,17 @@
 		return w.open != nil && w.keyValue(w.open, w.path, e)
 	}
 	w.open = nil
-	t, at, ok := w.descend(w.shape.root, Path{}, e.Key())
+	t, at, ok := w.descend(w.shape, Path{}, e.Key())
 	if !ok {
 		return false
 	}
 	if e.Kind == unstable.ArrayTable {
 		return w.openElement(t, at)
 	}
-	if isTables(t) {
+	if t.isTables() {
 		return w.refuse(at, "is a list: write [[%s]]", at)
 	}
-	if !isTable(t) {
+	if !t.isTable() {
 		return w.refuse(at, "is not a table")
 	}
 	if !w.seen(at) {
@@ -195,14 +195,14 @@
 }
 
 // openElement begins the next element of an array of tables.
-func (w *walker) openElement(t reflect.Type, at Path) bool {
-	if !isTables(t) {
+func (w *walker) openElement(t *shape, at Path) bool {
+	if !t.isTables() {
 		return w.refuse(at, "is not a list of tables")
 	}
 	name := at.Key
 	at = Path{Table: name, Index: w.elements[name]}
 	w.elements[name]++
-	w.open, w.path = t.Elem(), at
+	w.open, w.path = t.elem, at
 	return w.seen(at)
 }
 
@@ -216,26 +216,26 @@
 }
 
 // descend follows a dotted key from t and returns what it leads to.
-func (w *walker) descend(t reflect.Type, at Path, keys unstable.Iterator) (reflect.Type, Path, bool) {
+func (w *walker) descend(t *shape, at Path, keys unstable.Iterator) (*shape, Path, bool) {
 	for keys.Next() {
 		key := keys.Node()
-		if isTables(t) {
+		if t.isTables() {
 			// A header below an array of tables means its last element.
 			last := w.elements[at.Key] - 1
 			if last < 0 {
 				return nil, at, w.refuse(at, "is a list: write [[%s]] first", at)
 			}
-			t, at = t.Elem(), Path{Table: at.Key, Index: last}
+			t, at = t.elem, Path{Table: at.Key, Index: last}
 		}
-		switch t.Kind() {
+		switch t.kind {
 		case reflect.Struct:
-			f, ok := w.shape.fields[t][string(key.Data)]
+			f, ok := t.fields[string(key.Data)]
 			if !ok {
-				return nil, at, w.refuse(at.child(string(key.Data)), "unknown key; known are %s", w.shape.known(t))
+				return nil, at, w.refuse(at.child(string(key.Data)), "unknown key; known are %s", t.known())
 			}
 			t, at = f.shape, w.child(at, f.name)
 		case reflect.Map:
-			t = t.Elem()
+			t = t.elem
 			if w.recording {
 				at = at.child(string(key.Data))
 			}
@@ -246,7 +246,7 @@
 	return t, at, true
 }
 
-func (w *walker) keyValue(t reflect.Type, at Path, e *unstable.Node) bool {
+func (w *walker) keyValue(t *shape, at Path, e *unstable.Node) bool {
 	if w.recording {
 		w.seek(w.start(e))
 	}
@@ -258,14 +258,14 @@
 }
 
 // value checks the type of one value.
-func (w *walker) value(t reflect.Type, at Path, n *unstable.Node) bool {
-	switch t.Kind() {
+func (w *walker) value(t *shape, at Path, n *unstable.Node) bool {
+	switch t.kind {
 	case reflect.String:
 		return n.Kind == unstable.String || w.wrongType(at, "a string", n)
 	case reflect.Bool:
 		return n.Kind == unstable.Bool || w.wrongType(at, "true or false", n)
 	case reflect.Slice:
-		return w.array(t.Elem(), at, n)
+		return w.array(t.elem, at, n)
 	case reflect.Map, reflect.Struct:
 		return w.inlineTable(t, at, n)
 	default:
@@ -277,7 +277,7 @@
 	return w.refuse(at, "must be %s, not %s", want, strings.ToLower(n.Kind.String()))
 }
 
-func (w *walker) integer(t reflect.Type, at Path, n *unstable.Node) bool {
+func (w *walker) integer(t *shape, at Path, n *unstable.Node) bool {
 	if n.Kind != unstable.Integer {
 		return w.wrongType(at, "a whole number", n)
 	}
@@ -285,17 +285,16 @@
 	if err != nil {
 		return w.refuse(at, "%s is out of range", n.Data)
 	}
-	zero := reflect.Zero(t)
 	switch {
-	case zero.CanUint() && v < 0:
+	case t.zero.CanUint() && v < 0:
 		return w.refuse(at, "must not be negative")
-	case zero.CanUint() && zero.OverflowUint(uint64(v)), zero.CanInt() && zero.OverflowInt(v):
+	case t.zero.CanUint() && t.zero.OverflowUint(uint64(v)), t.zero.CanInt() && t.zero.OverflowInt(v):
 		return w.refuse(at, "%d is out of range", v)
 	}
 	return true
 }
 
-func (w *walker) array(elem reflect.Type, at Path, n *unstable.Node) bool {
+func (w *walker) array(elem *shape, at Path, n *unstable.Node) bool {
 	if n.Kind != unstable.Array {
 		return w.wrongType(at, "a list", n)
 	}
@@ -306,7 +305,7 @@
 			continue
 		}
 		below := at
-		if elem.Kind() == reflect.Struct {
+		if elem.kind == reflect.Struct {
 			below = Path{Table: at.Key, Index: index}
 			w.elements[at.Key]++
 		}
@@ -316,7 +315,7 @@
 	return ok
 }
 
-func (w *walker) inlineTable(t reflect.Type, at Path, n *unstable.Node) bool {
+func (w *walker) inlineTable(t *shape, at Path, n *unstable.Node) bool {
 	if n.Kind != unstable.InlineTable {
 		return w.wrongType(at, "a table", n)
 	}
