Read manifests behind bracketed comments; refuse scoped addresses; index built files

Cause: a comment with a bracket hid the manifest mark; an IPv6 scope means something on one machine only; files that tests build were indexed anew at each look-up.

--- a/internal/declared/forecast.go
+++ b/internal/declared/forecast.go
@@ -37,6 +37,15 @@
 	return json.Marshal(int64(a))
 }
 
+// UnmarshalJSON reads what MarshalJSON writes.
+func (a *Amount) UnmarshalJSON(data []byte) error {
+	if string(data) == "null" {
+		*a = Unbounded
+		return nil
+	}
+	return json.Unmarshal(data, (*int64)(a))
+}
+
 // Limit names what holds a bill at its highest.
 type Limit string
 
--- a/internal/declared/index.go
+++ b/internal/declared/index.go
@@ -34,8 +34,15 @@
 
 type routeKey struct{ method, path string }
 
-// indexed returns the index of f. A file that Parse did not return, as tests
-// build them, is indexed anew at each call.
+// Indexed returns a copy of f whose look-ups are fast. It is for files that
+// Parse did not return, as tests build them; they are not validated.
+func Indexed(f File) *File {
+	f.index = newIndex(&f)
+	return &f
+}
+
+// indexed returns the index of f, which is made anew at each call for a file
+// that neither Parse nor Indexed returned.
 func (f *File) indexed() *index {
 	if f.index != nil {
 		return f.index
--- a/internal/declared/manifest.go
+++ b/internal/declared/manifest.go
@@ -46,14 +46,17 @@
 	return d
 }
 
-var manifestMark = regexp.MustCompile(`(?m)^[ \t]*manifest[ \t]*=`)
+var (
+	manifestMark = regexp.MustCompile(`(?m)^[ \t]*manifest[ \t]*=`)
+	firstTable   = regexp.MustCompile(`(?m)^[ \t]*\[`)
+)
 
 // IsManifest reports whether data, the value of Key, is meant as a manifest
 // and not as a file.
 func IsManifest(data []byte) bool {
 	head := data
-	if i := bytes.IndexByte(data, '['); i >= 0 {
-		head = data[:i]
+	if at := firstTable.FindIndex(data); at != nil {
+		head = data[:at[0]]
 	}
 	return manifestMark.Match(head)
 }
--- a/internal/declared/manifest_test.go
+++ b/internal/declared/manifest_test.go
@@ -40,6 +40,12 @@
 	must.False(t, IsManifest(data))
 }
 
+func TestIsManifestLooksAtTheHeadOnly(t *testing.T) {
+	must.True(t, IsManifest([]byte("# [made by a tool]\n manifest=true\n[[part]]\n")))
+	must.False(t, IsManifest([]byte("# manifest = true\n[[tier]]\nmanifest = true\n")))
+	must.False(t, IsManifest(nil))
+}
+
 func TestAssembleRefusesAWrongSet(t *testing.T) {
 	data := readExample(t, "kalahari")
 	m, parts := published(t, data, 1000)
--- a/internal/declared/money_test.go
+++ b/internal/declared/money_test.go
@@ -80,7 +80,7 @@
 				Leaving:          i > 0 && rapid.Bool().Draw(t, "leaving"),
 			})
 		}
-		f.index = newIndex(f)
+		f = Indexed(*f)
 		total := f.Organisations[0].SpendMicrosPerMonth
 		month, rates := int64(0), new(big.Rat)
 		for _, z := range f.Zones() {
@@ -161,6 +161,9 @@
 	data, err := json.Marshal(fc.Total)
 	must.NoError(t, err)
 	must.Eq(t, `{"name":"total","lowest_micros":0,"highest_micros":null,"limit":"none"}`, string(data))
+	var back Bill
+	must.NoError(t, json.Unmarshal(data, &back))
+	must.Eq(t, fc.Total, back)
 }
 
 func TestAmountIsRoundedUpToCents(t *testing.T) {
--- a/internal/declared/validate_endpoints.go
+++ b/internal/declared/validate_endpoints.go
@@ -58,7 +58,7 @@
 		v.report.Add(at, "is missing")
 	case err != nil:
 		v.report.Add(at, "%q is not an IP number with a port; host names are not looked up", text)
-	case a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast():
+	case a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() || a.Addr().Zone() != "":
 		v.report.Add(at, "%q cannot be connected to", text)
 	default:
 		a = netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
