--- a/internal/endpoint/body.go
+++ b/internal/endpoint/body.go
@@ -4,8 +4,6 @@
 	"io"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Limits of reading on behind the logical end of an answer so that its
@@ -37,7 +35,7 @@
 	switch {
 	case err == nil:
 	case err != io.EOF:
-		b.err = errors.Mark(err, ErrCut)
+		b.err = because(ErrCut, err)
 		b.abandon()
 	case b.undelimited:
 		b.err = ErrUndelimited
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -26,7 +26,7 @@
 	ErrCut = errors.New("answer was cut")
 	// ErrUndelimited means that the end of an answer was told by closing the
 	// connection alone, which a cut looks like too. It is also an ErrCut.
-	ErrUndelimited = errors.Mark(errors.New("answer has no end that can be told from a cut"), ErrCut)
+	ErrUndelimited = because(ErrCut, errors.New("its end cannot be told from a cut"))
 	// ErrBadCall means that a Call can't be written as an HTTP/1.1 request.
 	ErrBadCall = errors.New("call is not a valid request")
 	// ErrUsed means that a Conn was sent on or closed before.
@@ -39,6 +39,15 @@
 	ErrProtocol = errors.New("answer breaks the protocol")
 )
 
+// because returns an error that is both kind and cause to errors.Is, of the
+// standard library too. It is never io.EOF, which only a whole answer gives.
+func because(kind, cause error) error {
+	if errors.Is(cause, io.EOF) {
+		cause = io.ErrUnexpectedEOF
+	}
+	return fmt.Errorf("%w: %w", kind, cause)
+}
+
 // SendError is the failure of Send.
 type SendError struct {
 	// Sent is false only where it is certain that no byte of the request
@@ -170,7 +179,7 @@
 	}
 	target, err := url.ParseRequestURI(call.Path)
 	if err != nil {
-		return nil, errors.Mark(err, ErrBadCall)
+		return nil, because(ErrBadCall, err)
 	}
 	target.Scheme = "http"
 	target.Host = address
--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -258,7 +258,7 @@
 		return ErrTooLarge
 	}
 	if err := json.Unmarshal(body.Bytes(), into); err != nil {
-		return errors.Mark(errors.Wrapf(err, "reading the answer to %s", path), ErrProtocol)
+		return because(ErrProtocol, errors.Wrapf(err, "reading the answer to %s", path))
 	}
 	return nil
 }
--- a/internal/endpoint/events.go
+++ b/internal/endpoint/events.go
@@ -156,9 +156,9 @@
 			return trimLine(r.line), nil
 		case err == bufio.ErrBufferFull:
 		case err == io.EOF:
-			return nil, errors.Mark(io.ErrUnexpectedEOF, ErrCut)
+			return nil, because(ErrCut, io.ErrUnexpectedEOF)
 		default:
-			return nil, errors.Mark(err, ErrCut)
+			return nil, because(ErrCut, err)
 		}
 	}
 }
--- /dev/null
+++ b/internal/endpoint/fake_test.go
@@ -0,0 +1,90 @@
+package endpoint
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// exchange is one request that a rawEndpoint has read whole.
+type exchange struct {
+	net.Conn
+	request *http.Request
+	body    string
+	// number counts the requests of the endpoint, nth those of the
+	// connection, both from 1.
+	number, nth int
+}
+
+func (e exchange) write(text string) {
+	_, _ = io.WriteString(e.Conn, text)
+}
+
+// rawEndpoint counts the requests that it reads from its connections and
+// answers with bytes as they are. Its handler returns false to close.
+type rawEndpoint struct {
+	address  string
+	requests atomic.Int32
+}
+
+func newRawEndpoint(t testing.TB, handle func(exchange) bool) *rawEndpoint {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	e := &rawEndpoint{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(conn, handle)
+		}
+	}()
+	return e
+}
+
+func (e *rawEndpoint) serve(conn net.Conn, handle func(exchange) bool) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for nth := 1; ; nth++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		number := int(e.requests.Add(1))
+		body, err := io.ReadAll(request.Body)
+		if err != nil || !handle(exchange{conn, request, string(body), number, nth}) {
+			return
+		}
+	}
+}
+
+// seen is how many requests the endpoint has read.
+func (e *rawEndpoint) seen() int { return int(e.requests.Load()) }
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// call sends on a connection from the client and reads the whole body.
+func call(t testing.TB, client *Client, address string, c Call) (*Answer, string, error) {
+	conn, err := client.Connect(t.Context(), address)
+	must.NoError(t, err)
+	answer, err := conn.Send(t.Context(), c)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	return answer, string(body), err
+}
+
+func newClient(t testing.TB, config Config) *Client {
+	client := New(config)
+	t.Cleanup(client.Close)
+	return client
+}
