--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -76,6 +76,11 @@
 	Body   []byte
 	// ID is sent as X-Request-Id; an answer that names another is refused.
 	ID string
+	// Guard, where set, is called once, immediately before the first byte is
+	// given to the kernel. Where it returns false no byte leaves, and Send
+	// fails with ErrWithheld. It is called from another goroutine and must
+	// neither block nor use the Conn.
+	Guard func() bool
 }
 
 // Answer is the head of an endpoint's answer with its body to be read.
@@ -124,9 +129,13 @@
 		c.link.discard()
 		return nil, &SendError{Err: ErrConnectionLost}
 	}
+	c.link.wire.begin(call.Guard)
 	response, err := c.link.transport.RoundTrip(request)
 	if err != nil {
 		sent := c.link.fail()
+		if c.link.wire.wasWithheld() {
+			err = ErrWithheld
+		}
 		return nil, &SendError{Sent: sent, Err: err}
 	}
 	if err := checkResponse(response, call.ID); err != nil {
--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/boottime"
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
@@ -140,7 +141,7 @@
 // Load fetches an endpoint's report.
 func (c *Client) Load(ctx context.Context, address string) (Load, error) {
 	var wire wireLoad
-	asked := time.Now()
+	asked := boottime.Now()
 	if err := c.getJSON(ctx, address, "/v1/load", maxLoadBytes, &wire); err != nil {
 		return Load{}, err
 	}
@@ -153,7 +154,7 @@
 		DecodeTokensPerSecond: wire.DecodeTokensPerSecond,
 		Leaving:               wire.Leaving,
 		Started:               uint64(wire.Started),
-		Age:                   reportAge(wire.MeasuredMSAgo, time.Since(asked)),
+		Age:                   reportAge(wire.MeasuredMSAgo, time.Duration(boottime.Now()-asked)),
 	}, nil
 }
 
@@ -185,24 +186,26 @@
 // GiveOrder sends an order once. ErrOldFencing means that the engine knows a
 // newer one. After any other error the order may have been obeyed.
 func (c *Client) GiveOrder(ctx context.Context, address string, order Order) error {
-	conn, err := c.Connect(ctx, address)
-	if err != nil {
-		return err
-	}
-	return conn.giveOrder(ctx, order)
+	return c.GiveOrderIf(ctx, address, order, nil)
 }
 
-func (c *Conn) giveOrder(ctx context.Context, order Order) error {
+// GiveOrderIf is GiveOrder with a Guard: where it returns false, nothing is
+// sent and the error is ErrWithheld.
+func (c *Client) GiveOrderIf(ctx context.Context, address string, order Order, guard func() bool) error {
 	body, err := json.Marshal(order)
 	if err != nil {
-		c.Close()
 		return errors.Wrap(err, "encoding order")
 	}
-	answer, err := c.Send(ctx, Call{
+	conn, err := c.Connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	answer, err := conn.Send(ctx, Call{
 		Method: http.MethodPost,
 		Path:   "/v1/orders",
 		Header: http.Header{"Content-Type": {"application/json"}},
 		Body:   body,
+		Guard:  guard,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/endpoint/poller_test.go
@@ -0,0 +1,161 @@
+package endpoint
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+// fakeReports answers by address; "stalled" never answers. It counts the
+// polls by address.
+type fakeReports struct {
+	mu      sync.Mutex
+	polls   map[string]int
+	running int
+	most    int
+	started uint64
+	after   []uint64
+}
+
+func (f *fakeReports) Load(ctx context.Context, address string) (Load, error) {
+	f.mu.Lock()
+	f.polls[address]++
+	f.running++
+	f.most = max(f.most, f.running)
+	started := f.started
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		f.running--
+		f.mu.Unlock()
+	}()
+	if address == "stalled" {
+		<-ctx.Done()
+		return Load{}, ctx.Err()
+	}
+	return Load{Started: started}, sleep(ctx, 10*time.Millisecond)
+}
+
+func (f *fakeReports) CacheEvents(_ context.Context, address string, after uint64) ([]CacheEvent, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if address == "service" {
+		f.polls["service cache"]++
+		return nil, &StatusError{404}
+	}
+	f.after = append(f.after, after)
+	// Event 3 is missing, and event 2 always comes again.
+	return []CacheEvent{{Sequence: 2}, {Sequence: after + 2}}, nil
+}
+
+// reset returns the counts and begins new ones.
+func (f *fakeReports) reset() (polls map[string]int, most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	polls = f.polls
+	f.polls = make(map[string]int)
+	return polls, f.most
+}
+
+func TestStalledEndpointsDelayNobodyElse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &fakeReports{polls: make(map[string]int)}
+		var mu sync.Mutex
+		failed := make(map[string]int)
+		poller := NewPoller(fake, PollerConfig{Concurrency: 4}, func(name string, _ Load, err error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed[name]++
+			}
+		}, func(string, []CacheEvent) {})
+		poller.SetTargets(map[string]string{"a": "good", "b": "stalled", "c": "stalled", "d": "stalled", "e": "stalled"})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		ended := make(chan error)
+		go func() { ended <- poller.Serve(ctx) }()
+		time.Sleep(100 * time.Second)
+
+		polls, most := fake.reset()
+		must.Greater(t, 85, polls["good"])
+		must.LessEq(t, 5, most)
+		mu.Lock()
+		failures := maps.Clone(failed)
+		mu.Unlock()
+		must.MapNotContainsKey(t, failures, "a")
+		must.MapLen(t, 4, failures)
+
+		poller.SetTargets(map[string]string{"a": "good", "f": "new"})
+		time.Sleep(10 * time.Second)
+		polls, _ = fake.reset()
+		must.MapLen(t, 2, polls)
+		must.Greater(t, 7, polls["new"])
+		cancel()
+		must.ErrorIs(t, <-ended, context.Canceled)
+	})
+}
+
+func TestCacheEventsComeOnceAndFollowTheRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &fakeReports{polls: make(map[string]int), started: 1}
+		var got []uint64
+		poller := NewPoller(fake, PollerConfig{}, func(string, Load, error) {}, func(_ string, events []CacheEvent) {
+			for _, e := range events {
+				got = append(got, e.Sequence)
+			}
+		})
+		poller.SetTargets(map[string]string{"a": "engine", "b": "service"})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		ended := make(chan error)
+		go func() { ended <- poller.Serve(ctx) }()
+		time.Sleep(20 * time.Second)
+		fake.mu.Lock()
+		fake.started = 2
+		fake.mu.Unlock()
+		polls, _ := fake.reset()
+		must.LessEq(t, 2, polls["service cache"])
+		time.Sleep(20 * time.Second)
+		cancel()
+		<-ended
+
+		restarts, seen := 0, make(map[uint64]int)
+		for _, after := range fake.after {
+			if after == 0 {
+				restarts++
+			}
+		}
+		for _, sequence := range got {
+			seen[sequence]++
+		}
+		// The first poll may come before the run is known.
+		must.Between(t, 2, restarts, 3)
+		must.LessEq(t, 2*restarts, seen[2])
+		must.Eq(t, 2, seen[4])
+	})
+}
+
+func TestPollerFailureIsReported(t *testing.T) {
+	client := newClient(t, Config{})
+	client.Close()
+	got := make(chan error, 1)
+	poller := NewPoller(client, PollerConfig{LoadInterval: time.Millisecond}, func(_ string, _ Load, err error) {
+		select {
+		case got <- err:
+		default:
+		}
+	}, nil)
+	poller.SetTargets(map[string]string{"a": "192.0.2.1:1"})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- poller.Serve(ctx) }()
+	must.True(t, errors.Is(<-got, ErrClosed))
+	cancel()
+	<-ended
+}
--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -14,6 +14,9 @@
 	errUnsolicited = errors.New("endpoint sent bytes before it was asked")
 )
 
+// ErrWithheld means that the Guard of a Call forbade the request.
+var ErrWithheld = errors.New("request was withheld by its guard")
+
 // wire is the TCP connection under a transport. It knows whether a byte of
 // the current request may have left, and lets no byte leave once that
 // question has been answered.
@@ -24,6 +27,10 @@
 	// started is set before the first byte of a request is given to the
 	// kernel, and cleared when that write gave it none.
 	started bool
+	// guard, where set, is asked once, immediately before the first byte.
+	guard func() bool
+	// withheld is set once the guard has forbidden the request.
+	withheld bool
 	// sealed forbids every later write.
 	sealed bool
 	// dead is set once the connection is known to be unusable.
@@ -39,6 +46,12 @@
 		return 0, errSealed
 	}
 	first := !w.started
+	if first && w.guard != nil && !w.guard() {
+		w.withheld = true
+		w.sealed = true
+		w.mu.Unlock()
+		return 0, ErrWithheld
+	}
 	w.started = true
 	w.mu.Unlock()
 
@@ -92,13 +105,27 @@
 	return sent
 }
 
+// begin sets the guard of the next request.
+func (w *wire) begin(guard func() bool) {
+	w.mu.Lock()
+	w.guard = guard
+	w.mu.Unlock()
+}
+
 // finish makes the connection ready for its next request.
 func (w *wire) finish() {
 	w.mu.Lock()
 	w.started = false
+	w.guard = nil
 	w.mu.Unlock()
 }
 
+func (w *wire) wasWithheld() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.withheld
+}
+
 func (w *wire) isDead() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
