--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -15,6 +15,9 @@
 // requestIDHeader names a dispatched request.
 const requestIDHeader = "X-Request-Id"
 
+// completionsPath is where requests are dispatched to.
+const completionsPath = "/v1/chat/completions"
+
 // finishedRunsKept bounds the finished answers that a stream can be resumed
 // from.
 const finishedRunsKept = 1024
@@ -160,7 +163,7 @@
 		faults:   settings.Faults,
 	}
 	e.boot = e.newBoot()
-	e.mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
+	e.mux.HandleFunc("POST "+completionsPath, e.serveCompletion)
 	e.mux.HandleFunc("GET /v1/requests/{id}/stream", e.serveResume)
 	e.mux.HandleFunc("DELETE /v1/requests/{id}", e.serveCancel)
 	e.mux.HandleFunc("GET /v1/load", e.serveLoad)
@@ -194,11 +197,8 @@
 	if e.outage.isDown() {
 		panic(http.ErrAbortHandler)
 	}
-	e.mu.Lock()
-	silent := e.faults.Silent
-	e.mu.Unlock()
-	if silent && r.Method != http.MethodPost {
-		<-r.Context().Done()
+	if e.Faults().Silent && r.URL.Path != completionsPath {
+		holdSilently(r)
 		return
 	}
 	e.mux.ServeHTTP(w, r)
@@ -225,7 +225,7 @@
 	}
 	faults := e.Faults()
 	if faults.Silent {
-		<-r.Context().Done()
+		holdSilently(r)
 		return
 	}
 	g, ok := e.admit(r.Header.Get(requestIDHeader), request, run)
@@ -477,6 +477,13 @@
 // Crash ends this boot of the engine: all connections drop, all state is
 // forgotten and connections are refused for the restart time.
 func (e *Engine) Crash() {
+	e.stop(time.Duration(e.Faults().RestartMS) * time.Millisecond)
+}
+
+// Close stops all work for good.
+func (e *Engine) Close() { e.stop(forever) }
+
+func (e *Engine) stop(d time.Duration) {
 	e.mu.Lock()
 	b := e.boot
 	for _, g := range b.batch {
@@ -485,9 +492,8 @@
 	b.batch = nil
 	close(b.crashed)
 	e.boot = e.newBoot()
-	restart := time.Duration(e.faults.RestartMS) * time.Millisecond
 	e.mu.Unlock()
-	e.outage.begin(restart)
+	e.outage.begin(d)
 }
 
 func (g *generation) usage() Usage {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -1,11 +1,8 @@
 package standin
 
 import (
-	"context"
-	"encoding/json"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -60,7 +57,7 @@
 
 func (e *Engine) setFaultsJSON(body []byte) error {
 	f := e.Faults()
-	if err := json.Unmarshal(body, &f); err != nil {
+	if err := unmarshalStrict(body, &f); err != nil {
 		return err
 	}
 	e.SetFaults(f)
@@ -98,85 +95,3 @@
 	w.WriteHeader(http.StatusNoContent)
 	return true
 }
-
-// NewControl returns a handler that serves the record of every stand-in of a
-// recorder, also while they are down.
-func NewControl(recorder *Recorder) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !serveRuns(recorder, "", w, r) {
-			http.NotFound(w, r)
-		}
-	})
-}
-
-// serveRuns serves GET /standin/runs and reports whether it did. The query
-// all=1 gives the runs of every stand-in of the recorder.
-func serveRuns(recorder *Recorder, endpoint string, w http.ResponseWriter, r *http.Request) bool {
-	if r.URL.Path != "/standin/runs" {
-		return false
-	}
-	if r.URL.Query().Get("all") == "1" {
-		endpoint = ""
-	}
-	writeJSON(w, recorder.Runs(endpoint))
-	return true
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(mustJSON(v))
-}
-
-func writeEvent(w http.ResponseWriter, event []byte) {
-	_, _ = w.Write([]byte("data: "))
-	_, _ = w.Write(event)
-	_, _ = w.Write([]byte("\n\n"))
-}
-
-// sleep waits and reports false where ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// outage is a time in which a stand-in takes no connections.
-type outage struct {
-	mu    sync.Mutex
-	until time.Time
-	// onBegin is told of each outage; a Server closes its listener.
-	onBegin func(time.Duration)
-}
-
-func newOutage() *outage { return &outage{} }
-
-// begin starts an outage.
-func (o *outage) begin(d time.Duration) {
-	o.mu.Lock()
-	o.until = time.Now().Add(d)
-	onBegin := o.onBegin
-	o.mu.Unlock()
-	if onBegin != nil {
-		onBegin(d)
-	}
-}
-
-func (o *outage) isDown() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return time.Now().Before(o.until)
-}
-
-func (o *outage) notify(onBegin func(time.Duration)) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.onBegin = onBegin
-}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -181,7 +180,7 @@
 
 func (p *Platform) setFaultsJSON(body []byte) error {
 	f := p.Faults()
-	if err := json.Unmarshal(body, &f); err != nil {
+	if err := unmarshalStrict(body, &f); err != nil {
 		return err
 	}
 	p.SetFaults(f)
@@ -195,8 +194,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if faults.Silent {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
+		holdSilently(r)
 	}
 	if limited {
 		http.Error(w, "too many reads", http.StatusTooManyRequests)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -107,7 +107,9 @@
 	if s.reopen != nil {
 		s.reopen.Stop()
 	}
-	s.reopen = time.AfterFunc(d, s.resume)
+	if d != forever {
+		s.reopen = time.AfterFunc(d, s.resume)
+	}
 }
 
 // resume listens again. Another socket may hold the port for a moment.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -109,7 +109,7 @@
 
 func (s *Service) setFaultsJSON(body []byte) error {
 	f := s.Faults()
-	if err := json.Unmarshal(body, &f); err != nil {
+	if err := unmarshalStrict(body, &f); err != nil {
 		return err
 	}
 	s.SetFaults(f)
@@ -159,7 +159,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if faults.Silent {
-		<-r.Context().Done()
+		holdSilently(r)
 		return
 	}
 	s.answer(w, r, run, user, faults)
@@ -222,6 +222,13 @@
 
 // Crash drops all calls and refuses connections for the restart time.
 func (s *Service) Crash() {
+	s.stop(time.Duration(s.Faults().RestartMS) * time.Millisecond)
+}
+
+// Close stops all work for good.
+func (s *Service) Close() { s.stop(forever) }
+
+func (s *Service) stop(d time.Duration) {
 	s.mu.Lock()
 	for run := range s.running {
 		s.recorder.finish(run, RunCrashed)
@@ -231,9 +238,8 @@
 	close(s.crashed)
 	s.crashed = make(chan struct{})
 	s.started = newStarted()
-	restart := time.Duration(s.faults.RestartMS) * time.Millisecond
 	s.mu.Unlock()
-	s.outage.begin(restart)
+	s.outage.begin(d)
 }
 
 func (s *Service) serveLoad(w http.ResponseWriter) {
