A request is served from caller to endpoint through a separate balsamd

Cause: until a request passes through separate processes nothing else can be shown to work. Before: no path.

--- a/cmd/balsamd/daemon.go
+++ b/cmd/balsamd/daemon.go
@@ -14,9 +14,6 @@
 	"github.com/balsamstair/balsamstair/internal/declared"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
 	"github.com/balsamstair/balsamstair/internal/logline"
-	"github.com/balsamstair/balsamstair/internal/operator"
-	"github.com/balsamstair/balsamstair/internal/peer"
-	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
 	"github.com/balsamstair/balsamstair/internal/platform"
 	"github.com/balsamstair/balsamstair/internal/reducer"
 	"github.com/balsamstair/balsamstair/internal/settings"
@@ -26,9 +23,6 @@
 	"github.com/thejerf/suture/v4"
 )
 
-// peerProtocol is the number of the protocol between instances.
-const peerProtocol = 1
-
 // daemon holds the parts of one process.
 type daemon struct {
 	set         settings.Settings
@@ -38,9 +32,7 @@
 	loop        *control.Loop
 	exchange    *traffic.Exchange
 	endpoints   *endpoint.Client
-	peers       *peer.Transport
-	operator    *operator.Server
-	counters    *operator.Counters
+	counters    *tally
 	handler     http.Handler
 	reconciler  *endpoint.Reconciler
 	poller      *endpoint.Poller
@@ -54,7 +46,7 @@
 		Instance:         set.Instance,
 		AvailabilityZone: set.AvailabilityZone,
 	}, reducer.Instant(boottime.Now())))
-	d.counters = operator.NewCounters()
+	d.counters = newTally()
 	d.endpoints = endpoint.New(endpoint.Config{})
 	d.exchange = traffic.New(traffic.Config{
 		Incarnation: reducer.Incarnation(d.incarnation),
@@ -62,16 +54,9 @@
 		Post:        d.loop.Post,
 		AnswerLimit: answerLimit,
 	})
-	if err := d.buildPeers(); err != nil {
-		return nil, err
-	}
 	d.buildHandler()
 	d.buildEndpointServices()
-	if err := d.buildOperator(); err != nil {
-		return nil, err
-	}
 	d.loop.Use(d.exchange,
-		&control.PeerCarrier{Peers: d.peers, Dropped: func() { d.counters.Add("peer_frames_dropped_total", "", 1) }},
 		&control.Observer{Counters: d.counters, Log: log},
 		d)
 	return d, nil
@@ -80,28 +65,6 @@
 // answerLimit bounds, in bytes, what is kept of one answer for re-sends.
 const answerLimit = 256 << 10
 
-func (d *daemon) buildPeers() error {
-	var conf *tls.Config
-	if t := d.set.TLS; t.PeerCertificateFile != "" {
-		var err error
-		if conf, err = peer.TLSConfig(t.PeerCertificateFile, t.PeerKeyFile, t.PeerCAFile); err != nil {
-			return err
-		}
-	}
-	d.peers = peer.New(peer.Config{
-		Incarnation: d.incarnation,
-		Hello: &peerpb.Hello{
-			Instance: d.set.Instance, AvailabilityZone: d.set.AvailabilityZone,
-			PeerAddress: d.set.PeerAddress, Protocol: peerProtocol,
-		},
-		ListenAddress: d.set.PeerAddress,
-		TLS:           conf,
-		Handler:       &control.PeerEvents{Post: d.loop.Post, Log: d.log.Named("peer")},
-		Log:           d.log.Named("peer"),
-	})
-	return nil
-}
-
 func (d *daemon) buildHandler() {
 	d.handler = caller.NewHandler(caller.Config{
 		Instance:    d.set.Instance,
@@ -109,7 +72,7 @@
 		Exchange:    d.exchange,
 		File:        d.file.Load,
 		Minter:      ticket.NewMinter(d.incarnation),
-		Peer:        d.peers.RoundTripper,
+		Peer:        func(uint64) http.RoundTripper { return nil },
 		Limits:      d.set.Limits,
 		Log:         d.log.Named("caller"),
 	})
@@ -122,8 +85,6 @@
 		EventHook:         func(e suture.Event) { d.log.Warn("supervisor", "event", e.String()) },
 	})
 	d.supervisor.Add(d.loop)
-	d.supervisor.Add(d.peers)
-	d.supervisor.Add(d.operator)
 	d.supervisor.Add(d.poller)
 	d.supervisor.Add(d.reconciler)
 	if err := d.addPlatform(); err != nil {
@@ -136,7 +97,6 @@
 	serving, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	callers := d.serveHTTP(listener)
-	forwarded := d.serveHTTP(d.peers.Forwarded())
 	ended := d.supervisor.ServeBackground(serving)
 	d.log.Event("started", "instance", d.set.Instance, "availability_zone", d.set.AvailabilityZone,
 		"incarnation", d.incarnation, "caller_address", listener.Addr().String())
@@ -145,7 +105,7 @@
 	case err := <-ended:
 		return errors.Wrap(err, "supervisor ended")
 	}
-	d.stop(callers, forwarded)
+	d.stop(callers)
 	cancel()
 	<-ended
 	return nil
@@ -228,9 +188,9 @@
 		d.file.Store(e.File)
 		d.setTargets(e.File)
 	case reducer.ReadyChanged:
-		d.operator.SetReady(e.Ready)
+		d.log.Event("ready", "ready", e.Ready)
 	case reducer.Order:
-		d.reconciler.Give(e.Endpoint, e.Address, endpoint.Order{Fencing: e.Fencing, Models: e.Models})
+		d.reconciler.Want(e.Endpoint, e.Address, endpoint.Order{Fencing: e.Fencing, Models: e.Models})
 	default:
 		return false
 	}
--- /dev/null
+++ b/cmd/balsamd/endpoints.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"github.com/balsamstair/balsamstair/internal/declared"
+	"github.com/balsamstair/balsamstair/internal/endpoint"
+	"github.com/balsamstair/balsamstair/internal/reducer"
+)
+
+// buildEndpointServices makes the poller of load reports and cache events and
+// the reconciler of orders.
+func (d *daemon) buildEndpointServices() {
+	d.poller = endpoint.NewPoller(d.endpoints, endpoint.PollerConfig{}, d.loadReported, d.cacheReported)
+	d.reconciler = endpoint.NewReconciler(d.endpoints, endpoint.ReconcilerConfig{}, d.currentOrder, func(r endpoint.OrderReport) {
+		d.counters.Add("orders_total", string(r.Outcome), 1)
+		d.log.Event("order", "endpoint", r.Endpoint, "fencing", r.Fencing, "outcome", string(r.Outcome))
+	})
+}
+
+func (d *daemon) loadReported(name string, l endpoint.Load, err error) {
+	if err != nil {
+		d.counters.Add("load_report_failures_total", "", 1)
+		d.loop.Post(reducer.EndpointReported{Endpoint: name, Report: reducer.EndpointReport{Unreachable: true}})
+		return
+	}
+	d.loop.Post(reducer.EndpointReported{Endpoint: name, Report: reducer.EndpointReport{
+		Age: l.Age, Running: l.Running, Waiting: l.Waiting,
+		DecodeTokensPerSecond: l.DecodeTokensPerSecond, Leaving: l.Leaving, Started: l.Started,
+	}})
+}
+
+func (d *daemon) cacheReported(name string, events []endpoint.CacheEvent) {
+	for _, e := range events {
+		d.loop.Post(reducer.CacheChanged{Endpoint: name, Prefix: e.Prefix, Held: e.Held})
+	}
+}
+
+// currentOrder is asked immediately before an order is written, so that a
+// process that was paused gives none of an older revision.
+func (d *daemon) currentOrder(string) (fencing uint64, ok bool) {
+	f := d.file.Load()
+	if f == nil {
+		return 0, false
+	}
+	return f.Revision, true
+}
+
+// setTargets polls the endpoints of this availability zone.
+func (d *daemon) setTargets(f *declared.File) {
+	targets := map[string]string{}
+	for _, e := range f.EndpointsIn(d.set.AvailabilityZone) {
+		targets[e.Name] = e.Address
+	}
+	d.poller.SetTargets(targets)
+}
--- a/internal/control/bridge.go
+++ b/internal/control/bridge.go
@@ -67,7 +67,7 @@
 // OfferFile parses published bytes and offers the file if it is valid; a bad
 // file changes nothing and is logged.
 func OfferFile(post func(reducer.Event), log *logline.Logger, source string, manifest []byte, parts [][]byte) {
-	f, err := declared.Assemble(manifest, parts)
+	f, err := parsePublished(manifest, parts)
 	if err != nil {
 		log.Warn("file_refused", "source", source, "error", err.Error())
 		return
@@ -75,6 +75,18 @@
 	post(reducer.FileOffered{File: f, Manifest: manifest, Parts: parts, Source: source})
 }
 
+// parsePublished reads a file that was published as one value or in parts.
+func parsePublished(value []byte, parts [][]byte) (*declared.File, error) {
+	if !declared.IsManifest(value) {
+		return declared.Parse(value)
+	}
+	m, err := declared.ParseManifest(value)
+	if err != nil {
+		return nil, err
+	}
+	return declared.Assemble(m, parts)
+}
+
 // Counters adds to published counters.
 type Counters interface {
 	Add(counter, label string, n int64)
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -262,8 +262,8 @@
 	address string
 	// endpoint is the name of where the run was dispatched.
 	endpoint string
-	cancel  context.CancelFunc
-	stopped bool
+	cancel   context.CancelFunc
+	stopped  bool
 }
 
 func newRun(x *Exchange, id reducer.RequestID, call *Call) *run {
