Peer transport: yamux sessions between instances

Cause: instances of a zone need one ordered way to each other for control frames and for forwarded requests, of which a paused peer stops nothing else.

Change: a control stream of length-delimited frames (64 KiB, FileReply 4 MiB) behind a queue bounded by frames and bytes for each session; a stream for each forwarded request, sent once; mutual TLS under one DNS name. The accepting side registers a session before it answers the Hello, and only the dialler of the better session retires the other after a ping, so that a dial from both sides ends in one session without a flap at either Handler.

Ruled out: yamux's keepalive and timeouts (they end the session of a peer that is only paused); closing the lesser session at once (the far end may not know the better one yet); judging it by age alone (both sides must judge alike).

--- /dev/null
+++ b/internal/peer/forward.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/semaphore"
+)
+
+const (
+	maxAnswerHeaderBytes = 64 << 10
+	forwardHost          = "peer"
+)
+
+// ErrNoSession means that there is no session to the peer, so that nothing of
+// a request was sent.
+var ErrNoSession = errors.New("peer: no session to the peer")
+
+// RoundTripper returns a RoundTripper that sends each request to a peer over a
+// stream of its own, once: it neither reuses streams nor sends again. Its
+// error is ErrNoSession where no byte of the request was sent for want of a
+// session.
+func (t *Transport) RoundTripper(to uint64) http.RoundTripper {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return t.open(ctx, to)
+		},
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+	}
+}
+
+func (t *Transport) open(ctx context.Context, to uint64) (net.Conn, error) {
+	t.mu.Lock()
+	var s *session
+	if l := t.links[to]; l != nil {
+		s = l.current()
+	}
+	t.mu.Unlock()
+	if s == nil {
+		return nil, ErrNoSession
+	}
+	return s.openStream(ctx)
+}
+
+// Forwarded returns the listener on which requests forwarded by peers arrive,
+// for an http.Server. PeerOf names the sender of its connections. It is closed
+// by its Close only and outlives Serve.
+func (t *Transport) Forwarded() net.Listener { return t.forwarded }
+
+// PeerOf returns the incarnation of the peer that a connection of Forwarded
+// comes from. It reports false for any other connection.
+func PeerOf(conn net.Conn) (uint64, bool) {
+	c, ok := conn.(*streamConn)
+	if !ok {
+		return 0, false
+	}
+	return c.session.peer, true
+}
+
+// streamConn is the stream of one forwarded request.
+type streamConn struct {
+	*yamux.Stream
+	session *session
+	slots   *semaphore.Weighted
+	once    sync.Once
+}
+
+// Close closes the stream in both directions; the far end may still read what
+// was written before.
+func (c *streamConn) Close() error {
+	err := c.Stream.Close()
+	c.once.Do(func() { c.slots.Release(1) })
+	return err
+}
+
+// forwardListener hands streams to an http.Server.
+type forwardListener struct {
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func newForwardListener(address string) *forwardListener {
+	return &forwardListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// offer waits until a connection is accepted. It reports false if the listener
+// is closed or the session ends before that.
+func (l *forwardListener) offer(conn net.Conn, ended <-chan struct{}) bool {
+	select {
+	case l.conns <- conn:
+		return true
+	case <-ended:
+		return false
+	case <-l.closed:
+		return false
+	}
+}
+
+// Accept returns the next connection, or net.ErrClosed.
+func (l *forwardListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends Accept.
+func (l *forwardListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr returns the address that peers connect to.
+func (l *forwardListener) Addr() net.Addr { return forwardAddr(l.address) }
+
+type forwardAddr string
+
+// Network returns the name of the network.
+func (forwardAddr) Network() string { return forwardHost }
+
+// String returns the listening address of the Transport.
+func (a forwardAddr) String() string { return string(a) }
--- /dev/null
+++ b/internal/peer/stall_test.go
@@ -0,0 +1,203 @@
+package peer
+
+import (
+	"bytes"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+)
+
+// pausable passes nothing on until its gate is closed, as the connection of a
+// paused process does.
+type pausable struct {
+	net.Conn
+	gate chan struct{}
+}
+
+func (p *pausable) Read(b []byte) (int, error) {
+	n, err := p.Conn.Read(b)
+	<-p.gate
+	return n, err
+}
+
+// bare speaks the protocol by hand, so that a test can break it.
+type bare struct {
+	mux     *yamux.Session
+	control *yamux.Stream
+	gate    chan struct{}
+}
+
+// connectBare opens a session as incarnation inc, which reads nothing until its
+// gate is closed.
+func connectBare(t *testing.T, inc uint64, to *node) *bare {
+	t.Helper()
+	conn, err := net.Dial("tcp", to.address)
+	must.NoError(t, err)
+	b := &bare{gate: make(chan struct{})}
+	c := to.muxConfig()
+	b.mux, err = yamux.Client(&pausable{conn, b.gate}, c)
+	must.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	b.control, err = b.mux.OpenStream()
+	must.NoError(t, err)
+	_, err = b.control.Write([]byte{streamControl})
+	must.NoError(t, err)
+	b.write(t, &peerpb.Frame{From: inc, Body: &peerpb.Frame_Hello{Hello: hello(inc)}})
+	to.await(t, "bare peer", func() bool { return len(to.ups) > 0 })
+	return b
+}
+
+// write sends a frame; the far end may close the session even before it
+// returns.
+func (b *bare) write(t *testing.T, f *peerpb.Frame) {
+	t.Helper()
+	var buf bytes.Buffer
+	_, err := protodelim.MarshalTo(&buf, f)
+	must.NoError(t, err)
+	_, _ = b.control.Write(buf.Bytes())
+}
+
+func TestPausedPeerHoldsUpNobodyAndItsQueueIsBounded(t *testing.T) {
+	a := start(t, 1, func(c *Config) { c.QueueFrames, c.QueueBytes = 100, 1<<20 })
+	b := connectBare(t, 7, a)
+	other := start(t, 2, nil)
+	other.Connect(a.address)
+	a.await(t, "other", func() bool { return len(a.ups) == 2 })
+
+	// Five frames fit into the stream's window of 256 KB, one waits with the
+	// writer, twenty fit into the queue.
+	accepted := 0
+	eventually(t, func() bool {
+		if a.Send(7, heartbeat(50_000)) {
+			accepted++
+		}
+		return accepted == 26
+	})
+	for range 1000 {
+		must.False(t, a.Send(7, heartbeat(50_000)))
+	}
+	stats := a.Stats()
+	must.Between(t, 900_000, stats.QueuedBytes, 1<<20)
+	must.Positive(t, stats.Dropped[DroppedQueueBytes])
+	for a.Send(7, ask(1)) {
+	}
+	must.Eq(t, 100, a.Stats().QueuedFrames)
+	must.Positive(t, a.Stats().Dropped[DroppedQueueFrames])
+
+	const n = 300
+	for i := range uint64(n) {
+		must.True(t, a.Send(2, ask(i)))
+		must.True(t, other.Send(1, ask(i)))
+		other.awaitFrames(t, int(i)+1)
+	}
+	a.awaitFrames(t, n)
+	must.Len(t, 2, a.told())
+
+	// It goes on where it stopped, and can be closed while it is paused.
+	a.Close(7)
+	a.await(t, "down", func() bool { return len(a.ups) == 3 })
+	must.Eq(t, "down 7", a.told()[2])
+	eventually(t, func() bool { return a.Stats().Dropped[DroppedSessionLost] >= 100 })
+	close(b.gate)
+}
+
+func TestPausedPeerResumes(t *testing.T) {
+	a := start(t, 1, nil)
+	b := connectBare(t, 7, a)
+	sent := 0
+	for ; sent < 400; sent++ {
+		must.True(t, a.Send(7, ask(uint64(sent))))
+	}
+	close(b.gate)
+	_ = b.control.SetReadDeadline(time.Now().Add(patience))
+	s := &session{}
+	s.useControl(b.control)
+	f, _, _, err := readFrame(s.reader)
+	must.NoError(t, err)
+	must.Eq(t, "instance-1", f.GetHello().GetInstance())
+	for i := range sent {
+		f, _, _, err := readFrame(s.reader)
+		must.NoError(t, err)
+		must.Eq(t, uint64(i), f.GetAsk().GetRequest())
+	}
+}
+
+func TestHandlerThatBlocksHoldsUpOnlyItsPeer(t *testing.T) {
+	a := start(t, 1, nil)
+	a.block = make(chan struct{})
+	b := start(t, 2, nil)
+	b.Connect(a.address)
+	b.awaitUps(t, "up 1 instance-1")
+	must.True(t, b.Send(1, ask(1)))
+	for i := range uint64(100) {
+		must.True(t, a.Send(2, ask(i)))
+	}
+	b.awaitFrames(t, 100)
+	a.Close(2)
+	b.awaitUps(t, "up 1 instance-1", "down 1")
+	close(a.block)
+	a.awaitUps(t, "up 2 instance-2", "down 2")
+}
+
+func TestBadFramesEndTheSession(t *testing.T) {
+	for name, c := range map[string]struct {
+		send   func(t *testing.T, b *bare)
+		reason DropReason
+	}{
+		"oversize": {func(t *testing.T, b *bare) {
+			f := heartbeat(MaxFrameBytes)
+			f.From = 7
+			b.write(t, f)
+		}, DroppedMalformed},
+		"garbage": {func(t *testing.T, b *bare) {
+			_, _ = b.control.Write(bytes.Repeat([]byte{0xff}, 100))
+		}, DroppedMalformed},
+		"another sender": {func(t *testing.T, b *bare) {
+			f := ask(1)
+			f.From = 8
+			b.write(t, f)
+		}, DroppedWrongSender},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := start(t, 1, nil)
+			b := connectBare(t, 7, a)
+			close(b.gate)
+			c.send(t, b)
+			a.awaitUps(t, "up 7 instance-7", "down 7")
+			must.Eq(t, 1, a.Stats().Dropped[c.reason])
+			must.SliceEmpty(t, a.frames)
+		})
+	}
+}
+
+func TestUnknownKindsAndSecondHellosArePassedOver(t *testing.T) {
+	a := start(t, 1, nil)
+	b := connectBare(t, 7, a)
+	close(b.gate)
+	b.write(t, &peerpb.Frame{From: 7})
+	b.write(t, &peerpb.Frame{From: 7, Body: &peerpb.Frame_Hello{Hello: hello(7)}})
+	f := ask(5)
+	f.From = 7
+	b.write(t, f)
+	must.Eq(t, 5, a.awaitFrames(t, 1)[0].GetAsk().GetRequest())
+	must.Eq(t, 2, a.Stats().Dropped[DroppedUnexpected])
+	must.Len(t, 1, a.told())
+}
+
+func TestGarbageInsideAnEstablishedSession(t *testing.T) {
+	a := start(t, 1, nil)
+	b := connectBare(t, 7, a)
+	close(b.gate)
+	stream, err := b.mux.OpenStream()
+	must.NoError(t, err)
+	_, err = stream.Write([]byte("?"))
+	must.NoError(t, err)
+	eventually(t, func() bool { return a.Stats().Refused[RefusedStreamKind] == 1 })
+	must.Len(t, 1, a.told())
+}
