Hold the shed order against late, new and paused instances

Change: closures go down tier by tier and begin again at the lowest when a peer comes up; a closure or a refusal for lack of capacity carries an echo of the receiver's own heartbeat and is not taken when that is older than a lease; an owner leaves other holders' places alone; heartbeats carry every closure in force, and only an instance that is not ready takes them; an instance that is not ready refuses callers; a new owner waits for the endpoint's first report, and only owners poll; an ask that was sent away waits for the next tick, so that two views cannot send it back and forth. Conclusion: the order holds among instances that the deciding one believes alive; across a cut each side decides for itself.

--- a/cmd/balsamd/daemon.go
+++ b/cmd/balsamd/daemon.go
@@ -221,7 +221,8 @@
 	switch e := e.(type) {
 	case reducer.FileAdopted:
 		d.file.Store(e.File)
-		d.setTargets(e.File)
+	case reducer.WatchEndpoints:
+		d.poller.SetTargets(e.Addresses)
 	case reducer.ReadyChanged:
 		d.log.Event("ready_changed", "ready", e.Ready)
 	case reducer.Order:
--- a/cmd/balsamd/endpoints.go
+++ b/cmd/balsamd/endpoints.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"github.com/balsamstair/balsamstair/internal/declared"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
 	"github.com/balsamstair/balsamstair/internal/reducer"
 )
@@ -43,12 +42,3 @@
 	}
 	return f.Revision, true
 }
-
-// setTargets polls the endpoints of this availability zone.
-func (d *daemon) setTargets(f *declared.File) {
-	targets := map[string]string{}
-	for _, e := range f.EndpointsIn(d.set.AvailabilityZone) {
-		targets[e.Name] = e.Address
-	}
-	d.poller.SetTargets(targets)
-}
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -76,6 +76,10 @@
 		Models   []string
 	}
 
+	// WatchEndpoints replaces the set of endpoints, by name and address, whose
+	// reports are polled: those that this instance owns.
+	WatchEndpoints struct{ Addresses map[string]string }
+
 	// ReadyChanged tells the platform's balancer whether to send callers.
 	ReadyChanged struct{ Ready bool }
 
@@ -103,23 +107,24 @@
 	StopComplete struct{}
 )
 
-func (Send) effect()         {}
-func (Admitted) effect()     {}
-func (Refuse) effect()       {}
-func (Join) effect()         {}
-func (Connect) effect()      {}
-func (Dispatch) effect()     {}
-func (Disconnect) effect()   {}
-func (Cancel) effect()       {}
-func (Forget) effect()       {}
-func (FileAdopted) effect()  {}
-func (Order) effect()        {}
-func (ReadyChanged) effect() {}
-func (ConnectPeer) effect()  {}
-func (ClosePeer) effect()    {}
-func (Logged) effect()       {}
-func (Counted) effect()      {}
-func (StopComplete) effect() {}
+func (Send) effect()           {}
+func (Admitted) effect()       {}
+func (Refuse) effect()         {}
+func (Join) effect()           {}
+func (Connect) effect()        {}
+func (Dispatch) effect()       {}
+func (Disconnect) effect()     {}
+func (Cancel) effect()         {}
+func (Forget) effect()         {}
+func (FileAdopted) effect()    {}
+func (Order) effect()          {}
+func (WatchEndpoints) effect() {}
+func (ReadyChanged) effect()   {}
+func (ConnectPeer) effect()    {}
+func (ClosePeer) effect()      {}
+func (Logged) effect()         {}
+func (Counted) effect()        {}
+func (StopComplete) effect()   {}
 
 // Counter names a published counter.
 type Counter string
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -24,23 +24,55 @@
 
 // peer is another incarnation in this availability zone.
 type peer struct {
-	id       Incarnation
-	name     string
-	address  string
-	health   health
-	session  bool
-	leaving  bool
-	heardAt  Instant
-	met      bool
-	revision uint64
-	digest   string
-	view     uint64
-	loads    map[string]*peerpb.PoolLoad
+	id      Incarnation
+	name    string
+	address string
+	health  health
+	session bool
+	leaving bool
+	heardAt Instant
+	met     bool
+	// heartbeats are the last sequences received, with their times.
+	heartbeats [heartbeatMemory]heartbeatTime
+	revision   uint64
+	digest     string
+	view       uint64
+	loads      map[string]*peerpb.PoolLoad
 	// sent counts slots asked of this owner since its last heartbeat, by
 	// pool, so that a burst does not follow one stale figure.
 	sent map[string]int
 }
 
+// heartbeatMemory is how many heartbeats are remembered with their times; it
+// covers more than a CloseLease.
+const heartbeatMemory = 16
+
+// heartbeatTime is when a heartbeat was sent or received.
+type heartbeatTime struct {
+	sequence uint64
+	at       Instant
+}
+
+// echoBefore returns the newest of the peer's heartbeats that was here at a
+// time, or zero.
+func (p *peer) echoBefore(at Instant) uint64 {
+	newest := uint64(0)
+	for _, h := range p.heartbeats {
+		if h.sequence > newest && h.at <= at {
+			newest = h.sequence
+		}
+	}
+	return newest
+}
+
+// echoFresh reports whether this instance sent that heartbeat less than a
+// CloseLease ago. Whoever echoes it received it later than that, so a lease
+// that the sender knew to run when it received it still runs now.
+func (s *State) echoFresh(sequence uint64) bool {
+	h := s.heartbeatsSent[sequence%heartbeatMemory]
+	return sequence != 0 && h.sequence == sequence && s.now.Sub(h.at) < CloseLease
+}
+
 func (p *peer) usable() bool { return p.health == alive && p.session && !p.leaving }
 
 // peerUp takes a new control stream. A process that was replaced under the
@@ -220,6 +252,7 @@
 	}
 	s.heartbeatAt = s.now
 	s.heartbeatSeq++
+	s.heartbeatsSent[s.heartbeatSeq%heartbeatMemory] = heartbeatTime{s.heartbeatSeq, s.now}
 	for _, p := range s.peerOrder {
 		if p.session {
 			s.sendHeartbeat(p)
@@ -253,6 +286,9 @@
 	p.revision = hb.GetRevision()
 	p.digest = string(hb.GetDigest())
 	p.view = hb.GetView()
+	if h := &p.heartbeats[hb.GetSequence()%heartbeatMemory]; h.sequence != hb.GetSequence() {
+		*h = heartbeatTime{hb.GetSequence(), s.now}
+	}
 	clear(p.sent)
 	clear(p.loads)
 	for _, l := range hb.GetPools() {
@@ -262,6 +298,11 @@
 		s.peerLeaving(from)
 	}
 	for _, c := range hb.GetClosures() {
+		if s.ready {
+			break
+		}
+		// Before it takes callers, nothing waits here that could be refused
+		// out of order.
 		s.closeTier(c.GetPool(), int(c.GetRank()), time.Duration(c.GetLeaseMs())*time.Millisecond)
 	}
 	s.compareFile(p)
--- a/internal/reducer/owner.go
+++ b/internal/reducer/owner.go
@@ -95,12 +95,23 @@
 
 // decline removes an entry and tells its holder why.
 func (s *State) decline(e *entry, r refusal.Reason, retryAfter time.Duration) {
+	s.sendDecline(e, &peerpb.Decline{Reason: string(r), RetryAfterMs: uint32(retryAfter / time.Millisecond)})
+}
+
+// declineEcho declines for lack of capacity. The echo bounds for how long the
+// holder may act on it.
+func (s *State) declineEcho(e *entry, r refusal.Reason, retryAfter time.Duration) {
+	d := &peerpb.Decline{Reason: string(r), RetryAfterMs: uint32(retryAfter / time.Millisecond)}
+	if p := s.peers[e.key.holder]; p != nil {
+		d.Echo = p.echoBefore(s.lowerClosedSince(e.pool, e.rank))
+	}
+	s.sendDecline(e, d)
+}
+
+func (s *State) sendDecline(e *entry, d *peerpb.Decline) {
 	e.pool.remove(e)
-	s.send(e.key.holder, &peerpb.Frame{Body: &peerpb.Frame_Decline{Decline: &peerpb.Decline{
-		Request:      uint64(e.key.request),
-		Reason:       string(r),
-		RetryAfterMs: uint32(retryAfter / time.Millisecond),
-	}}})
+	d.Request = uint64(e.key.request)
+	s.send(e.key.holder, &peerpb.Frame{Body: &peerpb.Frame_Decline{Decline: d}})
 }
 
 // askReceived queues a request, or renews its place.
@@ -115,10 +126,6 @@
 		e.round, e.renewed = max(e.round, a.GetRound()), s.now
 		return
 	}
-	if s.closed(p, int(a.GetRank())) {
-		s.send(from, declineFrame(key.request, refusal.TierClosed))
-		return
-	}
 	if s.crashRefused(a.GetFingerprint()) {
 		s.send(from, declineFrame(key.request, refusal.CrashSuspect))
 		return
--- a/internal/reducer/ownership.go
+++ b/internal/reducer/ownership.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"maps"
 	"sort"
 
 	"github.com/balsamstair/balsamstair/internal/declared"
@@ -21,6 +22,8 @@
 	reportedLeaving bool
 
 	owner Incarnation
+	// ownedAt is when this instance took over.
+	ownedAt Instant
 	// owned state; only meaningful while this instance is the owner.
 	grants map[grantKey]*grant
 	// unreported lists peers whose Held is awaited after taking over.
@@ -103,6 +106,7 @@
 		}
 	}
 	s.rebuildPools()
+	s.watchOwned()
 	if lost {
 		s.dropUnservable()
 	}
@@ -128,9 +132,27 @@
 	return best
 }
 
+// watchOwned has the reports polled of exactly what is owned: one reader an
+// endpoint, however many instances the zone has.
+func (s *State) watchOwned() {
+	owned := map[string]string{}
+	for _, e := range s.endpointOrder {
+		if e.owner == s.cfg.Incarnation {
+			owned[e.name] = e.address
+		}
+	}
+	if !maps.Equal(owned, s.watched) {
+		s.watched = owned
+		s.emit(WatchEndpoints{Addresses: maps.Clone(owned)})
+	}
+}
+
 // takeOver begins ownership with nothing known: each live peer's Held is
-// awaited, and until it comes its part of the slots is not granted.
+// awaited, and until it comes its part of the slots is not granted; and the
+// endpoint's own report, which may say that it is leaving.
 func (s *State) takeOver(e *endpoint) {
+	e.ownedAt = s.now
+	e.reported, e.reportedLeaving = false, false
 	clear(e.grants)
 	e.unreported = map[Incarnation]bool{}
 	for _, p := range s.livePeers() {
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -91,7 +91,7 @@
 
 // available reports whether an endpoint may get new work at all.
 func (s *State) available(e *endpoint) bool {
-	if e.leaving() {
+	if e.leaving() || !e.reported && s.now.Sub(e.ownedAt) < FirstReportWait {
 		return false
 	}
 	return s.now >= e.unreachableUntil
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -37,8 +37,10 @@
 	deadline Instant
 	reserved int64
 
-	owner    Incarnation
-	endpoint string
+	owner Incarnation
+	// declinedBy is an owner that just said to ask elsewhere.
+	declinedBy Incarnation
+	endpoint   string
 	// leaseEnds bounds the use of the grant.
 	leaseEnds Instant
 	// cancelAt is set while a run goes on for nobody.
@@ -81,10 +83,11 @@
 // refuseAtDoor checks what needs no queue. Nothing was dispatched.
 func (s *State) refuseAtDoor(q *Request) (refusal.Reason, bool) {
 	switch {
-	case s.file == nil:
-		return refusal.NotReady, false
 	case s.stopping:
 		return refusal.Leaving, false
+	case !s.ready:
+		// Closures of peers are not known yet.
+		return refusal.NotReady, false
 	case len(s.records) >= MaxRecords:
 		return refusal.TicketTableFull, false
 	case s.rank(q.Tier) == 0:
@@ -241,7 +244,7 @@
 	home := s.prefixHome(p, r.req.Prefix)
 	for _, o := range p.owners {
 		wait, ok := s.expectedWait(p, o, r)
-		if !ok {
+		if !ok || o.id == r.declinedBy {
 			continue
 		}
 		if o.id == home {
@@ -444,12 +447,12 @@
 		return
 	}
 	reason := refusal.Reason(d.GetReason())
-	if reason == declineMoved {
+	if reason == declineMoved || s.lateDecline(from, r, reason, d) {
 		s.count(CounterRetries, string(RetryOwnerDeclined), 1)
-		r.owner = 0
-		if from != s.cfg.Incarnation {
-			s.ask(r)
-		}
+		// Until the next tick another owner is asked, if there is one: two
+		// views that differ must not send an ask back and forth.
+		r.owner, r.declinedBy = 0, from
+		s.ask(r)
 		return
 	}
 	if _, ok := refusal.Lookup(reason); !ok {
@@ -458,6 +461,14 @@
 	s.refuseRequest(r, reason, time.Duration(d.GetRetryAfterMs())*time.Millisecond)
 }
 
+// lateDecline reports whether a refusal for lack of capacity comes when lower
+// tiers may be open again elsewhere. Nothing was told to the caller yet, so
+// asking again is right.
+func (s *State) lateDecline(from Incarnation, r *request, reason refusal.Reason, d *peerpb.Decline) bool {
+	capacity := reason == refusal.Shed || reason == refusal.DeadlineUnmet
+	return capacity && from != s.cfg.Incarnation && r.rank < s.lowestRank() && !s.echoFresh(d.GetEcho())
+}
+
 // refuseRequest is the final word on a request that did not run.
 func (s *State) refuseRequest(r *request, reason refusal.Reason, retryAfter time.Duration) {
 	if r.phase == asking && r.owner != 0 {
@@ -529,6 +540,7 @@
 		case r.phase == funding:
 			s.fund(r)
 		case r.phase == asking && r.owner == 0:
+			r.declinedBy = 0
 			s.ask(r)
 		case r.phase == dispatched && r.cancelAt != 0 && s.now >= r.cancelAt && !r.cancelling:
 			r.cancelling = true
--- a/internal/reducer/shed.go
+++ b/internal/reducer/shed.go
@@ -86,7 +86,7 @@
 	}
 	wait := time.Duration(s.waitSeconds(e.pool, e.rank) * float64(time.Second))
 	e.pool.raising.wantedAt = s.now
-	s.decline(e, reason, min(wait, time.Minute))
+	s.declineEcho(e, reason, min(wait, time.Minute))
 }
 
 // mayShed holds only if nothing of a lower rank waits anywhere in this
@@ -129,6 +129,21 @@
 	return false
 }
 
+// lowerClosedSince returns the time at which closures below a rank were asked
+// for: they last everywhere for at least a CloseLease from then.
+func (s *State) lowerClosedSince(p *pool, rank int) Instant {
+	since := s.now
+	if rank >= s.lowestRank() {
+		return since
+	}
+	for _, peer := range s.livePeers() {
+		if c, ok := p.raising.confirmed[peer.id]; ok {
+			since = min(since, c.until.Add(-CloseLease))
+		}
+	}
+	return since
+}
+
 // requestClosure closes the tiers from the lowest up to rank, one after the
 // other: the next only after every live peer has confirmed the one below, so
 // that no tier is refused anywhere while a lower one waits elsewhere.
@@ -158,6 +173,11 @@
 // askClosure closes the present rank here and asks every live peer to.
 func (s *State) askClosure(p *pool) {
 	r := &p.raising
+	// A peer that came up since has not closed the tiers below: begin there.
+	for r.rank < s.lowestRank() && !s.confirmedByAll(p, r.rank+1) {
+		r.rank++
+	}
+	since := s.lowerClosedSince(p, r.rank)
 	r.askedAt = s.now
 	r.round++
 	s.closeTier(p.name, r.rank, CloseLease)
@@ -165,6 +185,7 @@
 		s.send(peer.id, &peerpb.Frame{Body: &peerpb.Frame_TierClose{TierClose: &peerpb.TierClose{
 			Pool: p.name, Rank: uint32(r.rank), Round: r.round,
 			LeaseMs: uint32(CloseLease / time.Millisecond),
+			Echo:    peer.echoBefore(since),
 		}}})
 	}
 }
@@ -185,16 +206,12 @@
 	s.refuseClosed(p, rank)
 }
 
-// refuseClosed goes from the lowest tier up, in the order of shedding.
+// refuseClosed goes from the lowest tier up, in the order of shedding. Places
+// in the queue here belong to their holders: each refuses its own when the
+// closure reaches it, which this instance cannot know of a peer that has only
+// just come up.
 func (s *State) refuseClosed(p *pool, rank int) {
 	for r := len(p.tiers); r >= rank; r-- {
-		if p.tiers[r-1].waiting > 0 {
-			for _, e := range sortedEntries(p) {
-				if e.rank == r {
-					s.decline(e, refusal.TierClosed, 0)
-				}
-			}
-		}
 		for _, id := range s.waitingIn(p.name, r) {
 			s.refuseRequest(s.requests[id], refusal.TierClosed, 0)
 		}
@@ -212,8 +229,14 @@
 	return ids
 }
 
-// tierCloseReceived confirms only after everything covered was refused.
+// tierCloseReceived confirms only after everything covered was refused. A
+// closure that comes late, because this process or a link stood still, is not
+// taken: the lower tiers may be open again elsewhere.
 func (s *State) tierCloseReceived(from Incarnation, c *peerpb.TierClose) {
+	if int(c.GetRank()) < s.lowestRank() && !s.echoFresh(c.GetEcho()) {
+		s.count(CounterMessages, "late_closure", 1)
+		return
+	}
 	s.closeTier(c.GetPool(), int(c.GetRank()), time.Duration(c.GetLeaseMs())*time.Millisecond)
 	s.send(from, &peerpb.Frame{Body: &peerpb.Frame_TierCloseConfirm{TierCloseConfirm: &peerpb.TierCloseConfirm{
 		Pool: c.GetPool(), Rank: c.GetRank(), Round: c.GetRound(),
@@ -282,17 +305,22 @@
 	}
 }
 
-// closuresInForce lists what this instance may hold a right to, for
-// heartbeats: a joining instance closes it before it takes callers. The lease
-// that is left runs again from receipt, and so ends after the right.
+// closuresInForce lists, for heartbeats, the tiers that are closed here: a
+// joining instance closes them before it takes callers, and no other instance
+// takes them from there. The lease that is left runs again from receipt, and
+// so ends no earlier.
 func (s *State) closuresInForce() []*peerpb.TierClose {
 	var all []*peerpb.TierClose
 	for _, p := range s.poolOrder {
-		left := p.raising.askedAt.Add(CloseLease).Sub(s.now)
-		if p.raising.rank == 0 || left <= 0 {
-			continue
+		listed := s.now
+		for i, until := range p.closedUntil {
+			if until <= listed {
+				continue
+			}
+			listed = until
+			left := until.Sub(s.now)
+			all = append(all, &peerpb.TierClose{Pool: p.name, Rank: uint32(i + 1), LeaseMs: uint32(left/time.Millisecond) + 1})
 		}
-		all = append(all, &peerpb.TierClose{Pool: p.name, Rank: uint32(p.raising.rank), LeaseMs: uint32(left/time.Millisecond) + 1})
 	}
 	return all
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -45,6 +45,9 @@
 	CloseLease = 3 * time.Second
 	// CloseRenewInterval is the time between renewals of a closure.
 	CloseRenewInterval = time.Second
+	// FirstReportWait bounds how long a new owner waits for the endpoint's
+	// first report before it grants without one.
+	FirstReportWait = 3 * time.Second
 	// JoinWait bounds how long a fresh instance waits for listed peers that
 	// it cannot reach.
 	JoinWait = 3 * time.Second
@@ -129,9 +132,12 @@
 	peerOrder    []*peer
 	heartbeatSeq uint64
 	heartbeatAt  Instant
+	// heartbeatsSent are this instance's own last sequences.
+	heartbeatsSent [heartbeatMemory]heartbeatTime
 
 	endpoints     map[string]*endpoint
 	endpointOrder []*endpoint
+	watched       map[string]string
 	pools         map[string]*pool
 	poolOrder     []*pool
 
