--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -105,9 +105,11 @@
 
 func TestEveryKindHasACounter(t *testing.T) {
 	fields := bodyOneof.Fields()
-	must.Eq(t, 16, fields.Len())
+	must.Positive(t, fields.Len())
 	for i := range fields.Len() {
-		must.Less(t, kinds, int(fields.Get(i).Number()))
+		number := int(fields.Get(i).Number())
+		must.Less(t, kinds, number)
+		must.Eq(t, string(fields.Get(i).Name()), kindNames[number])
 	}
 	must.Eq(t, "hello", kindNames[kindHello])
 	must.Eq(t, "file_reply", kindNames[kindFileReply])
