--- /dev/null
+++ b/internal/peer/bench_test.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
+
+	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+)
+
+// notify is a Handler that only says that a frame came.
+type notify struct {
+	up, message chan struct{}
+}
+
+func (n *notify) PeerUp(uint64, *peerpb.Hello)  { n.up <- struct{}{} }
+func (n *notify) PeerDown(uint64)               {}
+func (n *notify) Message(uint64, *peerpb.Frame) { n.message <- struct{}{} }
+func newNotify() *notify                        { return &notify{make(chan struct{}, 1), make(chan struct{}, 1024)} }
+func processorNanoseconds(b *testing.B) (ns int64) {
+	var u unix.Rusage
+	must.NoError(b, unix.Getrusage(unix.RUSAGE_SELF, &u))
+	return u.Utime.Nano() + u.Stime.Nano()
+}
+
+func smallFrames() map[string]*peerpb.Frame {
+	pools := []*peerpb.PoolLoad{
+		{Pool: "birch-large", FreeSlots: 12, Waiting: []uint32{0, 1, 4, 30}, WaitMs: 180},
+		{Pool: "birch-small", FreeSlots: 40, Waiting: []uint32{0, 0, 0, 2}, WaitMs: 15},
+		{Pool: "booking", FreeSlots: 8, Waiting: []uint32{0, 0, 0, 0}},
+	}
+	return map[string]*peerpb.Frame{
+		"Ask": {Body: &peerpb.Frame_Ask{Ask: &peerpb.Ask{
+			Request: 100_000, Round: 200, Pool: "birch-large", Organisation: "organisation-1234", Rank: 2,
+			PromptTokens: 1500, OutputTokens: 400, Prefix: 1 << 60, Fingerprint: 1 << 61, DeadlineMs: 30_000,
+		}}},
+		"Grant": {Body: &peerpb.Frame_Grant{Grant: &peerpb.Grant{
+			Request: 100_000, Round: 200, Endpoint: "north-runner-12",
+		}}},
+		"Release": {Body: &peerpb.Frame_Release{Release: &peerpb.Release{
+			Request: 100_000, Endpoint: "north-runner-12", Dispatched: true, PromptTokens: 1500, CachedTokens: 900,
+			OutputTokens: 380, ElapsedMs: 15_000, FirstTokenMs: 700,
+		}}},
+		"Heartbeat": {Body: &peerpb.Frame_Heartbeat{Heartbeat: &peerpb.Heartbeat{
+			Sequence: 100_000, Revision: 5000, Digest: make([]byte, 32), View: 1 << 60, Pools: pools,
+		}}},
+	}
+}
+
+// BenchmarkFrame sends frames from one Transport to another in this process:
+// alone, each after the one before has arrived, and many at a time. It reports
+// a frame's bytes on the control stream and below yamux, window updates
+// included, and the processor time of both ends together.
+func BenchmarkFrame(b *testing.B) {
+	for name, f := range smallFrames() {
+		b.Run(name+"/alone", func(b *testing.B) { benchmarkFrame(b, f, 1) })
+		b.Run(name+"/many", func(b *testing.B) { benchmarkFrame(b, f, 64) })
+	}
+}
+
+func benchmarkFrame(b *testing.B, f *peerpb.Frame, together int) {
+	from, to := newNotify(), newNotify()
+	sender, receiver := serveBench(b, 1, from), serveBench(b, 2, to)
+	address, err := receiver.Listen()
+	must.NoError(b, err)
+	for sender.Stats().Sessions == 0 {
+		sender.Connect(address.String())
+	}
+	<-from.up
+	<-to.up
+	before, processor := sender.Stats(), processorNanoseconds(b)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for sent := 0; sent < b.N; {
+		n := min(together, b.N-sent)
+		for range n {
+			must.True(b, sender.Send(2, f))
+		}
+		for range n {
+			<-to.message
+		}
+		sent += n
+	}
+	b.StopTimer()
+	after, n := sender.Stats(), float64(b.N)
+	b.ReportMetric(float64(processorNanoseconds(b)-processor)/n, "cpu-ns/frame")
+	b.ReportMetric(float64(after.WireSent-before.WireSent+after.WireReceived-before.WireReceived)/n, "wire-B/frame")
+	encoded, _ := encodeFrame(1, f)
+	b.ReportMetric(float64(len(encoded.bytes)), "B/frame")
+}
+
+func serveBench(b *testing.B, inc uint64, h Handler) *Transport {
+	t := New(Config{Incarnation: inc, Hello: hello(inc), ListenAddress: "127.0.0.1:0", Handler: h})
+	_, err := t.Listen()
+	must.NoError(b, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- t.Serve(ctx) }()
+	b.Cleanup(func() { cancel(); <-done })
+	return t
+}
