Hold yamux to settings under which silence ends no session

Cause: yamux closes a session, with all its streams, when a write or the opening of a stream takes too long; a peer that is only paused would lose its forwarded requests.

The settings are tested instead.

--- a/internal/peer/stall_test.go
+++ b/internal/peer/stall_test.go
@@ -201,3 +201,14 @@
 	eventually(t, func() bool { return a.Stats().Refused[RefusedStreamKind] == 1 })
 	must.Len(t, 1, a.told())
 }
+
+// Nothing but heartbeats may end the session of a peer that stands still.
+// Fake time cannot show it in this package: yamux keeps its timers in a pool
+// that outlives a test's bubble.
+func TestMuxEndsNoSessionForSilence(t *testing.T) {
+	c := New(Config{Hello: hello(1)}).muxConfig()
+	must.False(t, c.EnableKeepAlive)
+	must.Eq(t, 0, c.StreamOpenTimeout)
+	must.GreaterEq(t, 24*time.Hour, c.ConnectionWriteTimeout)
+	must.NoError(t, yamux.VerifyConfig(c))
+}
