--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -63,7 +63,6 @@
 	if cfg.Counters == nil {
 		cfg.Counters = NewCounters()
 	}
-	cfg.Log = cfg.Log.Named("operator")
 	s := &Server{cfg: cfg, mux: http.NewServeMux(), answers: make(chan struct{}, maxAnswers)}
 	s.mux.HandleFunc("GET /livez", s.livez)
 	s.mux.HandleFunc("GET /readyz", s.readyz)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -141,10 +141,8 @@
 	switch {
 	case s != nil && !l.announced:
 		l.announced = true
-		l.t.log.Event("peer_up", "peer", s.peer, "instance", s.hello.GetInstance(), "address", s.hello.GetPeerAddress())
 		l.t.cfg.Handler.PeerUp(l.peer, s.hello)
 	case s == nil && l.announced:
-		l.t.log.Event("peer_down", "peer", l.peer)
 		l.t.cfg.Handler.PeerDown(l.peer)
 		l.announced = false
 		l.syncLocked()
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -99,6 +99,7 @@
 
 // run carries a registered session until it is closed.
 func (s *session) run() {
+	s.t.log.Event("peer_session_opened", "peer", s.peer, "instance", s.hello.GetInstance(), "address", s.address, "dialled", s.dialled)
 	s.link.sync()
 	var control, rest sync.WaitGroup
 	control.Go(s.writeLoop)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -121,7 +121,7 @@
 	cfg.Hello = proto.CloneOf(cfg.Hello)
 	return &Transport{
 		cfg:        cfg,
-		log:        cfg.Log.Named("peer"),
+		log:        cfg.Log,
 		forwarded:  newForwardListener(cfg.ListenAddress),
 		handshakes: semaphore.NewWeighted(maxHandshakes),
 		refusals:   rate.NewLimiter(refusalLinesPerSecond, refusalLinesBurst),
