--- a/internal/operator/counters.go
+++ b/internal/operator/counters.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"expvar"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -183,7 +182,7 @@
 		return v.String()
 	}
 	out := make(map[string]int64, len(s.values))
-	for label, v := range maps.All(s.values) {
+	for label, v := range s.values {
 		out[label] = v.Value()
 	}
 	b, err := json.Marshal(out)
