--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -66,9 +66,16 @@
 	return log.New(&standardWriter{log: l.log, event: event}, "", 0)
 }
 
+// StandardDebug is like Standard but logs every message as Debug does, for a
+// library whose complaints its user reports in another way.
+func (l *Logger) StandardDebug(event string) *log.Logger {
+	return log.New(&standardWriter{log: l.log, event: event, quiet: true}, "", 0)
+}
+
 type standardWriter struct {
 	log   hclog.Logger
 	event string
+	quiet bool
 }
 
 var prefixes = []struct {
@@ -93,6 +100,9 @@
 			break
 		}
 	}
+	if w.quiet {
+		level = hclog.Debug
+	}
 	w.log.Log(level, w.event, "text", text)
 	return len(p), nil
 }
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -89,6 +89,16 @@
 	must.Eq(t, "panic serving\n\ngoroutine 1", values["text"])
 }
 
+func TestStandardDebugIsSeenAtDebugOnly(t *testing.T) {
+	var out bytes.Buffer
+	New(&out, "info").StandardDebug("yamux").Print("[ERR] yamux: closed")
+	must.Eq(t, 0, out.Len())
+	New(&out, "debug").StandardDebug("yamux").Print("[ERR] yamux: closed")
+	_, values := parse(t, out.String())
+	must.Eq(t, "debug", values["level"])
+	must.Eq(t, "yamux: closed", values["text"])
+}
+
 func TestOffAndUnknownLevels(t *testing.T) {
 	var out bytes.Buffer
 	New(&out, "off").Error("x")
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -85,7 +85,9 @@
 	c.StreamOpenTimeout = 0
 	c.StreamCloseTimeout = closeTimeout
 	c.LogOutput = nil
-	c.Logger = t.log.Standard("yamux")
+	// Every session's end is logged with its reason; yamux would add an error
+	// to most of them.
+	c.Logger = t.log.StandardDebug("yamux")
 	return c
 }
 
