--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -85,7 +85,9 @@
 	c.StreamOpenTimeout = 0
 	c.StreamCloseTimeout = closeTimeout
 	c.LogOutput = nil
-	c.Logger = t.log.Standard("yamux")
+	// Every session's end is logged with its reason; yamux would add an error
+	// to most of them.
+	c.Logger = t.log.StandardDebug("yamux")
 	return c
 }
 
@@ -99,6 +101,7 @@
 
 // run carries a registered session until it is closed.
 func (s *session) run() {
+	s.t.log.Event("peer_session_opened", "peer", s.peer, "instance", s.hello.GetInstance(), "address", s.address, "dialled", s.dialled)
 	s.link.sync()
 	var control, rest sync.WaitGroup
 	control.Go(s.writeLoop)
