--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -18,8 +18,8 @@
 const (
 	DefaultConnectTimeout  = 2 * time.Second
 	DefaultIdleTimeout     = 30 * time.Second
-	DefaultIdlePerEndpoint = 32
-	DefaultIdleTotal       = 1024
+	DefaultIdlePerEndpoint = 16
+	DefaultIdleTotal       = 256
 	DefaultMaxHeaderBytes  = 64 << 10
 	DefaultMaxEventBytes   = 1 << 20
 )
@@ -75,7 +75,9 @@
 	count int
 }
 
-// New returns a Client. It opens nothing.
+// New returns a Client. It opens nothing. Bytes that an endpoint sends behind
+// its answer are dropped, but net/http writes them to the standard logger: a
+// process that must not log answers has to discard that logger's output.
 func New(config Config) *Client {
 	config = config.withDefaults()
 	return &Client{
