--- a/internal/endpoint/poller.go
+++ b/internal/endpoint/poller.go
@@ -150,7 +150,10 @@
 		return
 	}
 	defer func() { <-places }()
-	poll(ctx)
+	// A place may have come free at the moment of the end.
+	if ctx.Err() == nil {
+		poll(ctx)
+	}
 }
 
 func (t *target) pollLoad(ctx context.Context) {
