Operator interface and chat-completions parser are wired in

Cause: counters went nowhere, and the caller interface parsed chat requests with a stand-in of its own. Change: balsamd serves liveness, readiness, status and expvar counters with closed label lists; internal/openai replaces the parser.

--- a/cmd/balsamd/daemon.go
+++ b/cmd/balsamd/daemon.go
@@ -14,10 +14,12 @@
 	"github.com/balsamstair/balsamstair/internal/declared"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
 	"github.com/balsamstair/balsamstair/internal/logline"
+	"github.com/balsamstair/balsamstair/internal/operator"
 	"github.com/balsamstair/balsamstair/internal/peer"
 	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
 	"github.com/balsamstair/balsamstair/internal/platform"
 	"github.com/balsamstair/balsamstair/internal/reducer"
+	"github.com/balsamstair/balsamstair/internal/refusal"
 	"github.com/balsamstair/balsamstair/internal/settings"
 	"github.com/balsamstair/balsamstair/internal/ticket"
 	"github.com/balsamstair/balsamstair/internal/traffic"
@@ -38,7 +40,8 @@
 	exchange    *traffic.Exchange
 	endpoints   *endpoint.Client
 	peers       *peer.Transport
-	counters    *tally
+	operator    *operator.Server
+	counters    *operator.Counters
 	handler     http.Handler
 	reconciler  *endpoint.Reconciler
 	poller      *endpoint.Poller
@@ -53,7 +56,7 @@
 		AvailabilityZone: set.AvailabilityZone,
 		Guards:           guards(),
 	}, reducer.Instant(boottime.Now())))
-	d.counters = newTally()
+	d.counters = operator.NewCounters(counterDefinitions()...)
 	d.endpoints = endpoint.New(endpoint.Config{})
 	d.exchange = traffic.New(traffic.Config{
 		Incarnation: reducer.Incarnation(d.incarnation),
@@ -66,6 +69,9 @@
 	}
 	d.buildHandler()
 	d.buildEndpointServices()
+	if err := d.buildOperator(); err != nil {
+		return nil, err
+	}
 	d.loop.Use(d.exchange,
 		&control.PeerCarrier{Peers: d.peers, Dropped: func() { d.counters.Add("peer_frames_dropped_total", "", 1) }},
 		&control.Observer{Counters: d.counters, Log: log},
@@ -108,6 +114,9 @@
 		Peer:        d.peers.RoundTripper,
 		Limits:      d.set.Limits,
 		Log:         d.log.Named("caller"),
+		Refused: func(r refusal.Reason) {
+			d.counters.Add(string(reducer.CounterRefusals), string(r), 1)
+		},
 	})
 }
 
@@ -119,6 +128,7 @@
 	})
 	d.supervisor.Add(d.loop)
 	d.supervisor.Add(d.peers)
+	d.supervisor.Add(d.operator)
 	d.supervisor.Add(d.poller)
 	d.supervisor.Add(d.reconciler)
 	if err := d.addPlatform(); err != nil {
@@ -224,7 +234,7 @@
 	case reducer.WatchEndpoints:
 		d.poller.SetTargets(e.Addresses)
 	case reducer.ReadyChanged:
-		d.log.Event("ready_changed", "ready", e.Ready)
+		d.operator.SetReady(e.Ready)
 	case reducer.Order:
 		d.reconciler.Want(e.Endpoint, e.Address, endpoint.Order{Fencing: e.Fencing, Models: e.Models})
 	default:
--- /dev/null
+++ b/cmd/balsamd/operator.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+
+	"github.com/balsamstair/balsamstair/internal/operator"
+	"github.com/balsamstair/balsamstair/internal/reducer"
+)
+
+// buildOperator makes the operator interface.
+func (d *daemon) buildOperator() error {
+	var conf *tls.Config
+	if t := d.set.TLS; t.OperatorCertificateFile != "" {
+		cert, err := tls.LoadX509KeyPair(t.OperatorCertificateFile, t.OperatorKeyFile)
+		if err != nil {
+			return err
+		}
+		conf = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	}
+	d.operator = operator.New(operator.Config{
+		Address:  d.set.OperatorAddress,
+		TLS:      conf,
+		Counters: d.counters,
+		Status:   d.status,
+		Live:     d.live,
+		Log:      d.log.Named("operator"),
+	})
+	d.counters.PublishProcess()
+	d.counters.Publish("peers", func() any { return d.peers.Stats() })
+	return nil
+}
+
+func (d *daemon) status(ctx context.Context) (any, error) {
+	var st reducer.Status
+	err := d.loop.Query(ctx, func(s *reducer.State) { st = s.Status() })
+	return st, err
+}
+
+// live holds as long as the control goroutine answers.
+func (d *daemon) live(ctx context.Context) error {
+	return d.loop.Query(ctx, func(*reducer.State) {})
+}
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -21,6 +21,14 @@
 	retryAfter time.Duration
 	ticket     string
 	request    string
+	// detail is added to the reason's own text.
+	detail string
+}
+
+// refuseHere refuses without the reducer, and counts it.
+func (h *Handler) refuseHere(w http.ResponseWriter, x *refusedRequest) {
+	h.cfg.Refused(x.reason)
+	h.refuse(w, x)
 }
 
 // refuse writes the JSON form of a refusal with its status and Retry-After.
@@ -43,8 +51,12 @@
 func (x *refusedRequest) body() (refusal.Kind, refusal.Body) {
 	kind, _ := refusal.Lookup(x.reason)
 	after := max(x.retryAfter, kind.RetryAfter)
+	text := kind.Text
+	if x.detail != "" {
+		text += ": " + x.detail
+	}
 	return kind, refusal.Body{Error: refusal.Detail{
-		Reason: x.reason, NotRun: kind.NotRun, Message: kind.Text,
+		Reason: x.reason, NotRun: kind.NotRun, Message: text,
 		RetryAfterMS: after.Milliseconds(), Ticket: x.ticket, RequestID: x.request,
 	}}
 }
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -50,6 +50,8 @@
 	Peer   func(incarnation uint64) http.RoundTripper
 	Limits settings.Limits
 	Log    *logline.Logger
+	// Refused counts a refusal that was decided here, without the reducer.
+	Refused func(refusal.Reason)
 }
 
 // Handler serves callers, and peers that forward callers.
@@ -68,6 +70,8 @@
 	body   []byte
 	stream bool
 	ticket string
+	// problem says what is wrong with a request that is refused as bad.
+	problem string
 }
 
 // ServeHTTP implements http.Handler.
@@ -75,7 +79,7 @@
 	started := time.Now()
 	k, reason := h.read(w, r)
 	if reason != "" {
-		h.refuse(w, &refusedRequest{reason: reason})
+		h.refuseHere(w, &refusedRequest{reason: reason, detail: k.problem})
 		h.log(r, k, "", string(reason), started)
 		return
 	}
@@ -243,7 +247,7 @@
 	t, _ := ticket.Parse(k.ticket)
 	peer := h.cfg.Peer(t.Incarnation)
 	if peer == nil || r.Header.Get(headerForwarded) != "" {
-		h.refuse(w, &refusedRequest{reason: refusal.OutcomeUnknown})
+		h.refuseHere(w, &refusedRequest{reason: refusal.OutcomeUnknown})
 		return
 	}
 	out := r.Clone(r.Context())
@@ -254,7 +258,7 @@
 	out.Body, out.ContentLength, out.GetBody = io.NopCloser(bytes.NewReader(k.body)), int64(len(k.body)), nil
 	resp, err := peer.RoundTrip(out)
 	if err != nil {
-		h.refuse(w, &refusedRequest{reason: refusal.OutcomeUnknown})
+		h.refuseHere(w, &refusedRequest{reason: refusal.OutcomeUnknown})
 		return
 	}
 	defer resp.Body.Close()
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -164,6 +164,19 @@
 	RetryEndpointGone  RetryReason = "endpoint_gone"
 )
 
+// RetryReasons returns the closed list of retry reasons.
+func RetryReasons() []RetryReason {
+	return []RetryReason{
+		RetryConnectFailed, RetryNotSent, RetryLeaseExpired,
+		RetryOwnerGone, RetryOwnerDeclined, RetryEndpointGone,
+	}
+}
+
+// WasteReasons returns the closed list of reasons for wasted prefill.
+func WasteReasons() []WasteReason {
+	return []WasteReason{WasteCancelled, WasteBroken, WasteLate, WasteRepeated}
+}
+
 // WasteReason names why paid prefill reached nobody.
 type WasteReason string
 
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -34,9 +34,13 @@
 	Body   []byte
 	// Engine says that the answer is an event stream that can be resumed.
 	Engine bool
-	// UsageOf reads the usage from one event of an engine's answer; it
-	// reports false for events that carry none.
-	UsageOf func(event []byte) (Usage, bool)
+	// UsageOf reads the usage from one event of an engine's answer; ok is
+	// false for events that carry none, and alone true for those that carry
+	// nothing else.
+	UsageOf func(event []byte) (u Usage, alone, ok bool)
+	// HideUsage drops events that carry usage alone: the caller did not ask
+	// for them.
+	HideUsage bool
 }
 
 // Config is what an Exchange needs.
@@ -472,8 +476,11 @@
 			res.FirstToken = time.Since(started)
 		}
 		*events++
-		if u, ok := r.call.UsageOf(event); ok {
+		if u, alone, ok := r.call.UsageOf(event); ok {
 			res.PromptTokens, res.CachedTokens, res.OutputTokens = u.PromptTokens, u.CachedTokens, u.OutputTokens
+			if alone && r.call.HideUsage {
+				continue
+			}
 		}
 		line = append(append(append(line[:0], dataPrefix...), event...), eventEnd...)
 		r.journal.write(line)
