--- a/internal/reducer/owner.go
+++ b/internal/reducer/owner.go
@@ -234,10 +234,10 @@
 
 func (s *State) grantSlot(e *entry, on *endpoint) {
 	e.pool.take(e)
-	on.grants[e.key] = &grant{
+	on.addGrant(e.key, &grant{
 		at: s.now, cost: s.costOn(on, e), fingerprint: e.fingerprint,
 		prefix: e.prefix, prompt: e.prompt, output: e.output,
-	}
+	})
 	on.lastUsed = s.now
 	on.prefixes.add(e.prefix)
 	s.count(CounterGrants, "", 1)
@@ -253,8 +253,7 @@
 		return
 	}
 	key := grantKey{from, RequestID(r.GetRequest())}
-	g := e.grants[key]
-	delete(e.grants, key)
+	g := e.dropGrant(key)
 	if g != nil {
 		s.learn(e, g, r)
 	}
--- a/internal/reducer/ownership.go
+++ b/internal/reducer/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sort"
+	"time"
 
 	"github.com/balsamstair/balsamstair/internal/declared"
 	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
@@ -26,6 +27,9 @@
 	ownedAt Instant
 	// owned state; only meaningful while this instance is the owner.
 	grants map[grantKey]*grant
+	// busy sums, in seconds, when the granted runs are expected to end, so
+	// that the remaining work is known without looking at each.
+	busy float64
 	// unreported lists peers whose Held is awaited after taking over.
 	unreported map[Incarnation]bool
 	reporters  int
@@ -52,6 +56,41 @@
 	output      int
 }
 
+// addGrant enters a slot as used. A second entry under the same key replaces
+// the first.
+func (e *endpoint) addGrant(key grantKey, g *grant) {
+	e.dropGrant(key)
+	e.grants[key] = g
+	e.busy += g.end()
+}
+
+// dropGrant frees a slot and returns what used it, or nil.
+func (e *endpoint) dropGrant(key grantKey) *grant {
+	g := e.grants[key]
+	if g == nil {
+		return nil
+	}
+	delete(e.grants, key)
+	e.busy -= g.end()
+	if len(e.grants) == 0 {
+		e.busy = 0
+	}
+	return g
+}
+
+func (e *endpoint) clearGrants() {
+	clear(e.grants)
+	e.busy = 0
+}
+
+// remaining estimates the slot seconds until every granted run has ended.
+func (e *endpoint) remaining(now Instant) float64 {
+	return max(0, e.busy-float64(len(e.grants))*time.Duration(now).Seconds())
+}
+
+// end is when the run is expected to end, in seconds of the boot-time clock.
+func (g *grant) end() float64 { return time.Duration(g.at).Seconds() + g.cost }
+
 // rebuildEndpoints applies a new file and keeps what is known of endpoints
 // that stay.
 func (s *State) rebuildEndpoints() {
@@ -96,7 +135,7 @@
 		}
 		if e.owner == s.cfg.Incarnation {
 			lost = true
-			clear(e.grants)
+			e.clearGrants()
 		}
 		e.owner = owner
 		s.count(CounterOwnershipChanges, "", 1)
@@ -153,7 +192,7 @@
 func (s *State) takeOver(e *endpoint) {
 	e.ownedAt = s.now
 	e.reported, e.reportedLeaving = false, false
-	clear(e.grants)
+	e.clearGrants()
 	e.unreported = map[Incarnation]bool{}
 	for _, p := range s.livePeers() {
 		e.unreported[p.id] = true
@@ -204,7 +243,7 @@
 	for _, r := range s.requests {
 		if e := s.endpoints[r.endpoint]; r.holdsSlot() && e != nil && gained[r.endpoint] {
 			r.owner = s.cfg.Incarnation
-			e.grants[grantKey{s.cfg.Incarnation, r.id}] = &grant{at: s.now, cost: 1, fingerprint: r.req.Fingerprint, prompt: r.req.PromptTokens, output: r.req.OutputTokens}
+			e.addGrant(grantKey{s.cfg.Incarnation, r.id}, &grant{at: s.now, cost: 1, fingerprint: r.req.Fingerprint, prompt: r.req.PromptTokens, output: r.req.OutputTokens})
 		}
 	}
 }
@@ -285,13 +324,13 @@
 func (s *State) reconcileHeld(e *endpoint, from Incarnation, slots map[RequestID]*peerpb.HeldSlot) {
 	for key, g := range e.grants {
 		if key.holder == from && slots[key.request] == nil && s.now.Sub(g.at) > GrantLease {
-			delete(e.grants, key)
+			e.dropGrant(key)
 		}
 	}
 	for id, slot := range slots {
 		key := grantKey{from, id}
 		if e.grants[key] == nil {
-			e.grants[key] = &grant{at: s.now, cost: 1, fingerprint: slot.GetFingerprint(), prompt: int(slot.GetPromptTokens()), output: int(slot.GetOutputTokens())}
+			e.addGrant(key, &grant{at: s.now, cost: 1, fingerprint: slot.GetFingerprint(), prompt: int(slot.GetPromptTokens()), output: int(slot.GetOutputTokens())})
 		}
 	}
 }
@@ -301,7 +340,7 @@
 	for _, e := range s.endpointOrder {
 		for key := range e.grants {
 			if key.holder == id {
-				delete(e.grants, key)
+				e.dropGrant(key)
 			}
 		}
 		delete(e.unreported, id)
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -91,7 +91,10 @@
 
 // available reports whether an endpoint may get new work at all.
 func (s *State) available(e *endpoint) bool {
-	if e.leaving() || !e.reported && s.now.Sub(e.ownedAt) < FirstReportWait {
+	if e.leaving() {
+		return false
+	}
+	if e.reported && s.now.Sub(e.reportedAt) >= ReportWait || !e.reported && s.now.Sub(e.ownedAt) < ReportWait {
 		return false
 	}
 	return s.now >= e.unreachableUntil
@@ -290,9 +293,7 @@
 		}
 		slots += e.slots
 		free += max(0, e.grantable()-len(e.grants))
-		for _, g := range e.grants {
-			running += max(0, g.cost-s.now.Sub(g.at).Seconds())
-		}
+		running += e.remaining(s.now)
 	}
 	if slots == 0 {
 		return 10
--- a/internal/reducer/queue.go
+++ b/internal/reducer/queue.go
@@ -32,6 +32,8 @@
 	name    string
 	tiers   []*tierQueue // index 0 is rank 1
 	waiting int
+	// pending counts entries that wait for the right to be shed.
+	pending int
 	entries map[grantKey]*entry
 	// served counts what this instance can grant.
 	owned []*endpoint
@@ -147,6 +149,7 @@
 		return
 	}
 	e.gone = true
+	p.setPending(e, keep)
 	t := p.tiers[e.rank-1]
 	t.waiting--
 	t.service = max(0, t.service-e.service)
@@ -157,6 +160,17 @@
 	}
 }
 
+// setPending marks an entry that would be shed, or one that is kept.
+func (p *pool) setPending(e *entry, why shedReason) {
+	if e.pending != keep {
+		p.pending--
+	}
+	if why != keep {
+		p.pending++
+	}
+	e.pending = why
+}
+
 // reset drops lazily removed entries once nothing of the tier waits.
 func (t *tierQueue) reset() {
 	t.service = 0
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -202,7 +203,7 @@
 	for id := range s.requests {
 		ids = append(ids, id)
 	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	slices.Sort(ids)
 	return ids
 }
 
@@ -529,26 +530,46 @@
 
 // tickRequests ends what has run out of time.
 func (s *State) tickRequests() {
-	for _, id := range s.sortedRequests() {
-		r := s.requests[id]
-		if r == nil {
-			continue
+	var due []RequestID
+	for id, r := range s.requests {
+		if s.due(r) {
+			due = append(due, id)
 		}
-		switch {
-		case r.waiting() && s.now >= r.deadline:
-			s.refuseRequest(r, refusal.DeadlinePassed, 0)
-		case r.phase == funding:
-			s.fund(r)
-		case r.phase == asking && r.owner == 0:
-			r.declinedBy = 0
-			s.ask(r)
-		case r.phase == dispatched && r.cancelAt != 0 && s.now >= r.cancelAt && !r.cancelling:
-			r.cancelling = true
-			s.emit(Cancel{Request: r.id})
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		if r := s.requests[id]; r != nil {
+			s.tickRequest(r)
 		}
 	}
 }
 
+// due reports whether a request has something to do by time alone.
+func (s *State) due(r *request) bool {
+	switch {
+	case r.waiting() && s.now >= r.deadline, r.phase == funding:
+		return true
+	case r.phase == asking:
+		return r.owner == 0
+	}
+	return r.phase == dispatched && r.cancelAt != 0 && s.now >= r.cancelAt && !r.cancelling
+}
+
+func (s *State) tickRequest(r *request) {
+	switch {
+	case r.waiting() && s.now >= r.deadline:
+		s.refuseRequest(r, refusal.DeadlinePassed, 0)
+	case r.phase == funding:
+		s.fund(r)
+	case r.phase == asking:
+		r.declinedBy = 0
+		s.ask(r)
+	default:
+		r.cancelling = true
+		s.emit(Cancel{Request: r.id})
+	}
+}
+
 // moveAsksFrom asks elsewhere for what waits at an owner that gets no new
 // work. A grant of the former owner that still comes is returned.
 func (s *State) moveAsksFrom(owner Incarnation) {
--- a/internal/reducer/shed.go
+++ b/internal/reducer/shed.go
@@ -75,7 +75,7 @@
 		s.shedNow(e, why)
 		return
 	}
-	e.pending = why
+	e.pool.setPending(e, why)
 	s.requestClosure(e.pool, e.rank+1)
 }
 
@@ -256,13 +256,10 @@
 // shedPending acts on entries that waited for the right to shed their tier,
 // lowest tier first; those that have become possible are kept.
 func (s *State) shedPending(p *pool) {
-	for rank := len(p.tiers); rank >= 1; rank-- {
-		if p.tiers[rank-1].waiting == 0 {
-			continue
-		}
+	for rank := len(p.tiers); rank >= 1 && p.pending > 0; rank-- {
 		for _, e := range pendingOf(p, rank) {
 			why := e.pending
-			e.pending = keep
+			p.setPending(e, keep)
 			if why == shedDeadline && !s.unmet(e) || why == shedOverflow && p.waiting <= MaxWaiting {
 				continue
 			}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -45,9 +45,10 @@
 	CloseLease = 3 * time.Second
 	// CloseRenewInterval is the time between renewals of a closure.
 	CloseRenewInterval = time.Second
-	// FirstReportWait bounds how long a new owner waits for the endpoint's
-	// first report before it grants without one.
-	FirstReportWait = 3 * time.Second
+	// ReportWait is how long an owner grants on one report of an endpoint, and
+	// how long a new owner waits for the first. A process that was paused
+	// longer than that asks the endpoint again before it grants.
+	ReportWait = 3 * time.Second
 	// JoinWait bounds how long a fresh instance waits for listed peers that
 	// it cannot reach.
 	JoinWait = 3 * time.Second
