--- /dev/null
+++ b/e2e/site_test.go
@@ -0,0 +1,315 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/standin"
+	"github.com/shoenig/test/must"
+)
+
+// liveness is how long a test waits for what must come in the end.
+const liveness = 30 * time.Second
+
+// siteConfig says what a site is made of.
+type siteConfig struct {
+	// zones has the number of instances of each availability zone.
+	zones    []int
+	engines  int
+	services int
+	slots    int
+	// guardsOff names guards, separated by commas; the guardsoff daemon runs.
+	guardsOff   string
+	spendMicros int64
+	decodeStep  time.Duration
+	serviceMS   int64
+}
+
+// zoneName names the availability zone of an index.
+func zoneName(i int) string { return string(rune('a' + i)) }
+
+// backEnd is one stand-in of an endpoint.
+type backEnd struct {
+	declaredEndpoint
+	engine  *standin.Engine
+	service *standin.Service
+	server  *standin.Server
+}
+
+// site is a set of real daemons between stand-ins. Each instance sees the
+// platform through a view of its own, so that its faults, its file and the
+// addresses of its peers can differ.
+type site struct {
+	t         testing.TB
+	cfg       siteConfig
+	ip        string
+	dir       string
+	recorder  *standin.Recorder
+	backEnds  []*backEnd
+	instances []*instance
+
+	mu       sync.Mutex
+	revision uint64
+	variant  int
+	// published is the newest file that any platform view was given.
+	published published
+}
+
+// published identifies a file.
+type published struct {
+	revision uint64
+	variant  int
+	digest   string
+}
+
+// view is the platform as one instance sees it.
+type view struct {
+	platform *standin.Platform
+	server   *standin.Server
+	link     *relay
+}
+
+func newSite(t testing.TB, cfg siteConfig) *site {
+	siteSlots <- struct{}{}
+	t.Cleanup(func() { <-siteSlots })
+	s := &site{t: t, cfg: cfg, ip: siteAddress(), dir: t.TempDir(), recorder: standin.NewRecorder()}
+	t.Cleanup(s.close)
+	s.startBackEnds()
+	for z, n := range cfg.zones {
+		for range n {
+			s.addInstance(zoneName(z))
+		}
+	}
+	s.linkInstances()
+	s.publish(s.next())
+	for _, in := range s.instances {
+		in.start()
+	}
+	for _, in := range s.instances {
+		in.waitReady()
+	}
+	return s
+}
+
+func (s *site) startBackEnds() {
+	for z := range s.cfg.zones {
+		for i := range s.cfg.engines {
+			s.addEngine(zoneName(z), i)
+		}
+		for i := range s.cfg.services {
+			s.addService(zoneName(z), i)
+		}
+	}
+}
+
+func (s *site) addEngine(zone string, i int) {
+	settings := standin.DefaultEngineSettings()
+	settings.Name = fmt.Sprintf("engine-%s%d", zone, i+1)
+	if s.cfg.decodeStep > 0 {
+		settings.DecodeStep = s.cfg.decodeStep
+	}
+	settings.Faults.RestartMS = 1000
+	e := standin.NewEngine(settings, s.recorder)
+	s.addBackEnd(&backEnd{engine: e, server: s.listen(e), declaredEndpoint: declaredEndpoint{
+		name: settings.Name, class: "runner", zone: zone, pool: chatPool, slots: s.cfg.slots,
+	}})
+}
+
+func (s *site) addService(zone string, i int) {
+	settings := standin.DefaultServiceSettings()
+	settings.Name = fmt.Sprintf("booking-%s%d", zone, i+1)
+	if s.cfg.serviceMS > 0 {
+		settings.Faults.DelayMS = s.cfg.serviceMS
+	}
+	v := standin.NewService(settings, s.recorder)
+	s.addBackEnd(&backEnd{service: v, server: s.listen(v), declaredEndpoint: declaredEndpoint{
+		name: settings.Name, class: "booking", zone: zone, pool: bookingPool, slots: s.cfg.slots,
+	}})
+}
+
+func (s *site) addBackEnd(b *backEnd) {
+	b.address = b.server.Address()
+	s.backEnds = append(s.backEnds, b)
+}
+
+// engines returns the engines of every zone.
+func (s *site) engines() []*backEnd {
+	return slices.DeleteFunc(slices.Clone(s.backEnds), func(b *backEnd) bool { return b.engine == nil })
+}
+
+// services returns the plain services of every zone.
+func (s *site) services() []*backEnd {
+	return slices.DeleteFunc(slices.Clone(s.backEnds), func(b *backEnd) bool { return b.service == nil })
+}
+
+// freePort returns a port of the site's own address.
+func (s *site) freePort() string {
+	l, err := net.Listen("tcp", net.JoinHostPort(s.ip, "0"))
+	must.NoError(s.t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *site) addInstance(zone string) {
+	in := &instance{
+		site: s, zone: zone, index: len(s.instances),
+		name:   fmt.Sprintf("entry-%s%d", zone, len(s.instances)+1),
+		caller: s.freePort(), peer: s.freePort(), operator: s.freePort(),
+		links: map[int]*relay{},
+	}
+	in.view.platform = standin.NewPlatform()
+	in.view.server = s.listen(in.view.platform)
+	in.view.link = s.relay(in.view.server.Address())
+	s.instances = append(s.instances, in)
+	in.settings = filepath.Join(s.dir, in.name+".toml")
+	must.NoError(s.t, os.WriteFile(in.settings, fmt.Appendf(nil,
+		"instance = %q\navailability_zone = %q\ncaller_address = %q\npeer_address = %q\noperator_address = %q\nplatform_address = %q\n",
+		in.name, zone, in.caller, in.peer, in.operator, in.view.link.address()), 0o600))
+}
+
+func (s *site) listen(h handler) *standin.Server {
+	server, err := standin.Listen(net.JoinHostPort(s.ip, "0"), h)
+	must.NoError(s.t, err)
+	return server
+}
+
+func (s *site) relay(target string) *relay {
+	r, err := newRelay(s.ip, target)
+	must.NoError(s.t, err)
+	return r
+}
+
+// linkInstances puts a relay in the way of each pair of instances of a zone
+// and tells each instance where it finds the others.
+func (s *site) linkInstances() {
+	for _, from := range s.instances {
+		type listed struct {
+			Name             string `json:"name"`
+			AvailabilityZone string `json:"availability_zone"`
+			PeerAddress      string `json:"peer_address"`
+			Leaving          bool   `json:"leaving"`
+		}
+		var list []listed
+		for _, to := range s.instances {
+			address := to.peer
+			if to != from && to.zone == from.zone {
+				from.links[to.index] = s.relay(to.peer)
+				address = from.links[to.index].address()
+			}
+			list = append(list, listed{to.name, to.zone, address, false})
+		}
+		b, err := json.Marshal(list)
+		must.NoError(s.t, err)
+		from.view.platform.PublishInstances(b)
+	}
+}
+
+// next returns the declaration of the next revision.
+func (s *site) next() declaration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	return s.declaration(s.revision, 0)
+}
+
+func (s *site) declaration(revision uint64, variant int) declaration {
+	d := declaration{revision: revision, variant: variant, spendMicros: s.cfg.spendMicros}
+	for _, b := range s.backEnds {
+		d.endpoints = append(d.endpoints, b.declaredEndpoint)
+	}
+	return d
+}
+
+// publish gives a file to the views of some instances, or of all.
+func (s *site) publish(d declaration, to ...*instance) {
+	if len(to) == 0 {
+		to = s.instances
+	}
+	text := d.text()
+	s.note(d, text)
+	for _, in := range to {
+		in.view.platform.PublishValue("declared", text)
+	}
+}
+
+// note keeps the highest file on (revision, digest).
+func (s *site) note(d declaration, text []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := published{d.revision, d.variant, digestOf(text)}
+	if p.revision > s.published.revision || p.revision == s.published.revision && p.digest > s.published.digest {
+		s.published = p
+	}
+}
+
+func (s *site) newest() published {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.published
+}
+
+// cut sets both directions of dialling between two instances.
+func (s *site) cut(a, b *instance, state linkState) {
+	if r := a.links[b.index]; r != nil {
+		r.set(state)
+	}
+	if r := b.links[a.index]; r != nil {
+		r.set(state)
+	}
+}
+
+// isolate sets the links of an instance to all others.
+func (s *site) isolate(a *instance, state linkState) {
+	for _, b := range s.instances {
+		s.cut(a, b, state)
+	}
+}
+
+// heal ends every lasting fault.
+func (s *site) heal() {
+	for _, in := range s.instances {
+		s.isolate(in, linkOpen)
+		in.view.link.set(linkOpen)
+		in.view.platform.SetFaults(standin.PlatformFaults{})
+	}
+	for _, b := range s.backEnds {
+		if b.engine != nil {
+			f := b.engine.Faults()
+			b.engine.SetFaults(standin.EngineFaults{
+				LoadLagMS: f.LoadLagMS, CacheEventLagMS: f.CacheEventLagMS, RestartMS: f.RestartMS,
+			})
+			continue
+		}
+		f := b.service.Faults()
+		b.service.SetFaults(standin.ServiceFaults{DelayMS: f.DelayMS, LoadLagMS: f.LoadLagMS, RestartMS: f.RestartMS})
+	}
+}
+
+func (s *site) close() {
+	for _, in := range s.instances {
+		in.end()
+	}
+	for _, in := range s.instances {
+		for _, r := range in.links {
+			r.close()
+		}
+		in.view.link.close()
+		in.view.server.Close()
+	}
+	for _, b := range s.backEnds {
+		b.server.Close()
+		if b.engine != nil {
+			b.engine.Close()
+		}
+		if b.service != nil {
+			b.service.Close()
+		}
+	}
+}
