--- a/cmd/balsamd/daemon.go
+++ b/cmd/balsamd/daemon.go
@@ -157,10 +157,14 @@
 }
 
 // stop is the graceful shutdown: the reducer says when nothing is held any
-// more; then the last answers are written out.
+// more; then the last answers are written out. For leaveTime at least, who
+// still comes gets a refusal: a closed listener would drop connections that
+// are just being made.
 func (d *daemon) stop(servers ...*http.Server) {
 	d.loop.Post(reducer.StopRequested{})
+	noticed := time.After(leaveTime)
 	<-d.loop.Stopped()
+	<-noticed
 	ctx, cancel := context.WithTimeout(context.Background(), lastWrites)
 	defer cancel()
 	for _, s := range servers {
@@ -170,6 +174,10 @@
 	}
 }
 
+// leaveTime is how long the platform's balancer may take to see that the
+// instance is not ready any more.
+const leaveTime = 2 * time.Second
+
 // lastWrites bounds how long slow callers may take to read answers that are
 // complete.
 const lastWrites = 10 * time.Second
--- a/e2e/instance_test.go
+++ b/e2e/instance_test.go
@@ -244,7 +244,7 @@
 func (in *instance) waitReady() {
 	p := in.current()
 	for end := time.Now().Add(liveness); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if _, ok := p.find(time.Time{}, "ready_changed", "ready=true"); ok {
+		if _, ok := p.find(time.Time{}, "event=ready ready=true"); ok {
 			return
 		}
 		if p.over() {
--- a/e2e/schedule_test.go
+++ b/e2e/schedule_test.go
@@ -130,7 +130,7 @@
 	for _, m := range c.marks {
 		switch m.what {
 		case "start":
-			l, found := m.on.startedAt(m.at).find(m.at, "ready_changed", "ready=true")
+			l, found := m.on.startedAt(m.at).find(m.at, "event=ready ready=true")
 			add("start until ready", m.at, l, found)
 			continue
 		}
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -23,6 +23,9 @@
 	request    string
 	// detail is added to the reason's own text.
 	detail string
+	// resent says that the request came with a ticket of which nothing is
+	// known here: an earlier send of it may have run, whatever the reason.
+	resent bool
 }
 
 // refuseHere refuses without the reducer, and counts it.
@@ -56,7 +59,7 @@
 		text += ": " + x.detail
 	}
 	return kind, refusal.Body{Error: refusal.Detail{
-		Reason: x.reason, NotRun: kind.NotRun, Message: text,
+		Reason: x.reason, NotRun: kind.NotRun && !x.resent, Message: text,
 		RetryAfterMS: after.Milliseconds(), Ticket: x.ticket, RequestID: x.request,
 	}}
 }
@@ -97,10 +100,22 @@
 		h.answerBroken(w, r, k, v, name, started)
 		return
 	}
+	chat := k.call.Engine && status == http.StatusOK
+	var whole []byte
+	if chat && !k.stream {
+		// Nothing is written yet, so that a broken run still gets an answer.
+		if whole, err = collect(v.Answer); err != nil {
+			h.answerBroken(w, r, k, v, name, started)
+			return
+		}
+	}
 	h.writeHead(w, v, header, name)
-	if k.call.Engine && status == http.StatusOK {
-		err = h.writeChat(w, v.Answer, k.stream)
-	} else {
+	switch {
+	case whole != nil:
+		err = h.writeWhole(w, whole)
+	case chat:
+		err = h.writeStream(w, v.Answer)
+	default:
 		w.WriteHeader(status)
 		err = h.copyBody(w, v.Answer)
 	}
@@ -147,16 +162,20 @@
 		reason = v.Answer.Refused().Reason
 	}
 	if k.call.Engine && k.stream && r.Context().Err() == nil {
-		x := &refusedRequest{reason: reason, request: name}
-		_, body := x.body()
-		text, _ := json.Marshal(body)
-		_, _ = fmt.Fprintf(w, "event: error\ndata: %s\n\n", text)
-		_ = http.NewResponseController(w).Flush()
+		writeError(w, &refusedRequest{reason: reason, request: name})
 	}
 	h.log(r, k, name, string(reason), started)
 	panic(http.ErrAbortHandler)
 }
 
+// writeError ends an event stream with an event that says why.
+func writeError(w http.ResponseWriter, x *refusedRequest) {
+	_, body := x.body()
+	text, _ := json.Marshal(body)
+	_, _ = fmt.Fprintf(w, "event: error\ndata: %s\n\n", text)
+	_ = http.NewResponseController(w).Flush()
+}
+
 // copyBuffer is the size in bytes of the buffer that copies answers.
 const copyBuffer = 16 << 10
 
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -43,22 +43,23 @@
 	return traffic.Usage{PromptTokens: got.PromptTokens, CachedTokens: got.CachedTokens, OutputTokens: got.OutputTokens}, got.Alone, ok
 }
 
-// writeChat writes an engine's event stream, as it comes or collected.
-func (h *Handler) writeChat(w http.ResponseWriter, from io.Reader, stream bool) error {
-	if stream {
-		w.Header().Set("Content-Type", "text/event-stream")
-		w.WriteHeader(http.StatusOK)
-		return h.copyBody(w, from)
-	}
-	whole, err := collect(from)
-	if err != nil {
-		return err
-	}
+// eventStream is the content type of an engine's answer.
+const eventStream = "text/event-stream"
+
+// writeStream writes an engine's event stream as it comes.
+func (h *Handler) writeStream(w http.ResponseWriter, from io.Reader) error {
+	w.Header().Set("Content-Type", eventStream)
+	w.WriteHeader(http.StatusOK)
+	return h.copyBody(w, from)
+}
+
+// writeWhole writes a collected chat completion.
+func (h *Handler) writeWhole(w http.ResponseWriter, whole []byte) error {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusOK)
 	// A writer without deadlines, as over a peer's session, has its own limits.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.cfg.Limits.IdleTimeout()))
-	_, err = w.Write(whole)
+	_, err := w.Write(whole)
 	return err
 }
 
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -79,12 +79,14 @@
 	started := time.Now()
 	k, reason := h.read(w, r)
 	if reason != "" {
-		h.refuseHere(w, &refusedRequest{reason: reason, detail: k.problem})
+		// A ticket that is no ticket stands for nothing that could have run.
+		resent := r.Header.Get(HeaderTicket) != "" && reason != refusal.TicketInvalid
+		h.refuseHere(w, &refusedRequest{reason: reason, detail: k.problem, resent: resent})
 		h.log(r, k, "", string(reason), started)
 		return
 	}
 	if k.ticket != "" && k.request.Ticket.Request == 0 {
-		h.forward(w, r, k)
+		h.forward(w, r, k, started)
 		h.log(r, k, "", "forwarded", started)
 		return
 	}
@@ -243,7 +245,7 @@
 // forward sends a request to the incarnation that minted its ticket. Nobody
 // else can say whether it ran: where that one cannot be asked, the outcome is
 // unknown, and it is never run here.
-func (h *Handler) forward(w http.ResponseWriter, r *http.Request, k *work) {
+func (h *Handler) forward(w http.ResponseWriter, r *http.Request, k *work, started time.Time) {
 	t, _ := ticket.Parse(k.ticket)
 	peer := h.cfg.Peer(t.Incarnation)
 	if peer == nil || r.Header.Get(headerForwarded) != "" {
@@ -264,7 +266,19 @@
 	defer resp.Body.Close()
 	copyHead(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
-	h.copyBody(w, resp.Body)
+	if err := h.copyBody(w, resp.Body); err != nil {
+		h.cutForwarded(w, r, k, resp, started)
+	}
+}
+
+// cutForwarded ends an answer that broke on its way through a peer, so that
+// it cannot look whole.
+func (h *Handler) cutForwarded(w http.ResponseWriter, r *http.Request, k *work, resp *http.Response, started time.Time) {
+	if resp.Header.Get("Content-Type") == eventStream && r.Context().Err() == nil {
+		writeError(w, &refusedRequest{reason: refusal.AnswerCut, request: resp.Header.Get(HeaderRequest)})
+	}
+	h.log(r, k, resp.Header.Get(HeaderRequest), string(refusal.AnswerCut), started)
+	panic(http.ErrAbortHandler)
 }
 
 // log writes one line for each request; never a key, a prompt or an answer.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -28,6 +28,8 @@
 	queries  chan func(*reducer.State)
 	carriers []Carrier
 	stopped  chan struct{}
+	// ended is closed when Serve returns: nobody takes events any more.
+	ended chan struct{}
 }
 
 // New returns a loop that owns state from the call of Serve on.
@@ -37,6 +39,7 @@
 		events:  make(chan reducer.Event, eventQueue),
 		queries: make(chan func(*reducer.State)),
 		stopped: make(chan struct{}),
+		ended:   make(chan struct{}),
 	}
 }
 
@@ -48,7 +51,7 @@
 func (l *Loop) Post(ev reducer.Event) {
 	select {
 	case l.events <- ev:
-	case <-l.stopped:
+	case <-l.ended:
 	}
 }
 
@@ -63,7 +66,7 @@
 	run := func(s *reducer.State) { f(s); close(done) }
 	select {
 	case l.queries <- run:
-	case <-l.stopped:
+	case <-l.ended:
 		return context.Canceled
 	case <-ctx.Done():
 		return ctx.Err()
@@ -76,9 +79,11 @@
 	}
 }
 
-// Serve runs until ctx ends or the reducer has stopped. A panic of the reducer
+// Serve runs until ctx ends, also after the reducer has stopped: callers that
+// come late still get their refusal. It is called once. A panic of the reducer
 // is a broken invariant and is not recovered.
 func (l *Loop) Serve(ctx context.Context) error {
+	defer close(l.ended)
 	tick := time.NewTicker(reducer.TickInterval)
 	defer tick.Stop()
 	for {
