Bound what callers make an instance hold

Cause: the settings' limits on connections, on all bodies together and on kept answers were read and not applied. Change: connections beyond the limit wait to be accepted, bodies wait for room, kept answers push out the oldest. A re-send whose answer was pushed out is told that it has run. Ruled out: refusing beyond the limits, which would refuse in an order that the tiers have no say in.

--- a/cmd/balsamd/daemon.go
+++ b/cmd/balsamd/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/balsamstair/balsamstair/internal/traffic"
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
+	"golang.org/x/net/netutil"
 )
 
 // peerProtocol is the number of the protocol between instances.
@@ -63,6 +64,7 @@
 		Client:      d.endpoints,
 		Post:        d.loop.Post,
 		AnswerLimit: answerLimit,
+		KeptLimit:   set.Limits.KeptAnswerBytes,
 	})
 	if err := d.buildPeers(); err != nil {
 		return nil, err
@@ -207,6 +209,9 @@
 	if err != nil {
 		return nil, err
 	}
+	// Callers beyond the limit wait to be accepted: nobody is refused out of
+	// the order of the tiers.
+	l = netutil.LimitListener(l, d.set.Limits.ConcurrentRequests)
 	t := d.set.TLS
 	if t.CallerCertificateFile == "" {
 		return l, nil
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -19,6 +19,7 @@
 	"github.com/balsamstair/balsamstair/internal/ticket"
 	"github.com/balsamstair/balsamstair/internal/traffic"
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/semaphore"
 )
 
 // Headers of the caller interface; docs/CALLERS.md describes them.
@@ -55,10 +56,16 @@
 }
 
 // Handler serves callers, and peers that forward callers.
-type Handler struct{ cfg Config }
+type Handler struct {
+	cfg Config
+	// bodies bounds the bytes of all requests that are held together.
+	bodies *semaphore.Weighted
+}
 
 // NewHandler returns a Handler.
-func NewHandler(cfg Config) *Handler { return &Handler{cfg: cfg} }
+func NewHandler(cfg Config) *Handler {
+	return &Handler{cfg: cfg, bodies: semaphore.NewWeighted(cfg.Limits.BodiesBytes)}
+}
 
 // work is one authenticated request with its body.
 type work struct {
@@ -66,6 +73,8 @@
 	organisation *declared.Organisation
 	call         *traffic.Call
 	request      reducer.Request
+	// reserved is the room that the body takes among all bodies.
+	reserved int64
 	// body is what the caller sent, for forwarding.
 	body   []byte
 	stream bool
@@ -78,6 +87,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	k, reason := h.read(w, r)
+	defer func() { h.bodies.Release(k.reserved) }()
 	if reason != "" {
 		// A ticket that is no ticket stands for nothing that could have run.
 		resent := r.Header.Get(HeaderTicket) != "" && reason != refusal.TicketInvalid
@@ -106,7 +116,7 @@
 	if k.organisation, ok = h.authenticate(k.file, r); !ok {
 		return k, refusal.Unauthorised
 	}
-	body, reason := h.readBody(w, r)
+	body, reason := h.readBody(k, w, r)
 	if reason != "" {
 		return k, reason
 	}
@@ -125,7 +135,21 @@
 	return f.OrganisationByKey(key)
 }
 
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, refusal.Reason) {
+// readBody waits for room among the bodies that are held, then reads. A caller
+// that has to wait for room is not refused: which request gives way is for the
+// tiers to decide, and they cannot yet.
+func (h *Handler) readBody(k *work, w http.ResponseWriter, r *http.Request) ([]byte, refusal.Reason) {
+	room := h.cfg.Limits.BodyBytes
+	if r.ContentLength > room {
+		return nil, refusal.TooLarge
+	}
+	if r.ContentLength >= 0 {
+		room = r.ContentLength
+	}
+	if h.bodies.Acquire(r.Context(), room) != nil {
+		return nil, refusal.CallerGone
+	}
+	k.reserved = room
 	rc := http.NewResponseController(w)
 	// A writer without deadlines, as over a peer's session, has its own limits.
 	_ = rc.SetReadDeadline(time.Now().Add(h.cfg.Limits.IdleTimeout()))
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -65,12 +65,15 @@
 	return newest
 }
 
-// echoFresh reports whether this instance sent that heartbeat less than a
-// CloseLease ago. Whoever echoes it received it later than that, so a lease
-// that the sender knew to run when it received it still runs now.
-func (s *State) echoFresh(sequence uint64) bool {
+// echoLease returns what is left of a CloseLease that began when this instance
+// sent that heartbeat. Whoever echoes it received it later than that, so what
+// was known there to last for a CloseLease from then still lasts so long.
+func (s *State) echoLease(sequence uint64) time.Duration {
 	h := s.heartbeatsSent[sequence%heartbeatMemory]
-	return sequence != 0 && h.sequence == sequence && s.now.Sub(h.at) < CloseLease
+	if sequence == 0 || h.sequence != sequence {
+		return 0
+	}
+	return max(0, CloseLease-s.now.Sub(h.at))
 }
 
 func (p *peer) usable() bool { return p.health == alive && p.session && !p.leaving }
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -467,7 +467,7 @@
 // asking again is right.
 func (s *State) lateDecline(from Incarnation, r *request, reason refusal.Reason, d *peerpb.Decline) bool {
 	capacity := reason == refusal.Shed || reason == refusal.DeadlineUnmet
-	return capacity && from != s.cfg.Incarnation && r.rank < s.lowestRank() && !s.echoFresh(d.GetEcho())
+	return capacity && from != s.cfg.Incarnation && r.rank < s.lowestRank() && s.echoLease(d.GetEcho()) == 0
 }
 
 // refuseRequest is the final word on a request that did not run.
--- a/internal/reducer/shed.go
+++ b/internal/reducer/shed.go
@@ -18,22 +18,22 @@
 )
 
 // raising is this instance's own request that peers close tiers of a pool.
-// The right that a confirmation gives runs from the moment of asking, the
-// closure at the peer from receipt: the right always ends first.
+// It goes from the lowest tier up to the wanted one, again and again while it
+// is wanted. The right that a confirmation gives runs from the moment of
+// asking, the closure at the peer from receipt: the right always ends first.
 type raising struct {
-	// rank is the closure asked for now; it goes down one by one from the
-	// lowest tier to wanted.
-	rank      int
-	wanted    int
-	round     uint64
-	askedAt   Instant
-	wantedAt  Instant
-	confirmed map[Incarnation]confirmation
-}
-
-type confirmation struct {
-	rank  int
-	until Instant
+	// rank is the closure asked for now; zero while nothing is wanted.
+	rank     int
+	wanted   int
+	round    uint64
+	begunAt  Instant
+	askedAt  Instant
+	wantedAt Instant
+	// answered holds the peers that have confirmed the present round.
+	answered map[Incarnation]bool
+	// closed holds, for each peer, until when each rank is known to be closed
+	// there; index 0 is rank 1.
+	closed map[Incarnation][]Instant
 }
 
 // closed reports whether new work of that rank is refused for the pool.
@@ -103,19 +103,21 @@
 	if s.holdsWaiting(p.name, rank+1) || !s.closed(p, rank+1) {
 		return false
 	}
-	return s.confirmedByAll(p, rank+1)
+	return s.now < s.closedEverywhere(p, rank+1)
 }
 
-// confirmedByAll reports whether every live peer has closed that rank for at
-// least as long as the confirmations run.
-func (s *State) confirmedByAll(p *pool, rank int) bool {
+// closedEverywhere returns until when a rank is known to be closed here and at
+// every live peer; the beginning of time where it is not.
+func (s *State) closedEverywhere(p *pool, rank int) Instant {
+	until := p.closedUntil[rank-1]
 	for _, peer := range s.livePeers() {
-		c, ok := p.raising.confirmed[peer.id]
-		if !ok || c.rank > rank || s.now >= c.until {
-			return false
+		closed := p.raising.closed[peer.id]
+		if closed == nil {
+			return 0
 		}
+		until = min(until, closed[rank-1])
 	}
-	return true
+	return until
 }
 
 // holdsWaiting reports whether a request of the pool at or below that rank
@@ -129,19 +131,13 @@
 	return false
 }
 
-// lowerClosedSince returns the time at which closures below a rank were asked
-// for: they last everywhere for at least a CloseLease from then.
+// lowerClosedSince returns a time from which on the tiers below a rank stay
+// closed everywhere for a CloseLease.
 func (s *State) lowerClosedSince(p *pool, rank int) Instant {
-	since := s.now
 	if rank >= s.lowestRank() {
-		return since
-	}
-	for _, peer := range s.livePeers() {
-		if c, ok := p.raising.confirmed[peer.id]; ok {
-			since = min(since, c.until.Add(-CloseLease))
-		}
+		return s.now
 	}
-	return since
+	return min(s.now, s.closedEverywhere(p, rank+1).Add(-CloseLease))
 }
 
 // requestClosure closes the tiers from the lowest up to rank, one after the
@@ -151,40 +147,60 @@
 	r := &p.raising
 	r.wantedAt = s.now
 	if r.rank == 0 {
-		r.rank, r.wanted = s.lowestRank(), rank
-		r.confirmed = map[Incarnation]confirmation{}
+		r.wanted = rank
+		r.closed = map[Incarnation][]Instant{}
 		s.log("tier_close", "pool", p.name, "rank", rank)
-		s.askClosure(p)
+		s.beginRaising(p)
 		return
 	}
 	r.wanted = min(r.wanted, rank)
 	s.raiseFurther(p)
 }
 
+// beginRaising starts at the lowest tier: a peer that came up since the last
+// time has closed nothing, and no closure may outlast one of a lower tier.
+func (s *State) beginRaising(p *pool) {
+	p.raising.rank = s.lowestRank()
+	p.raising.begunAt = s.now
+	s.askClosure(p)
+	s.raiseFurther(p)
+}
+
 // raiseFurther goes to the next tier once the present one is closed
 // everywhere.
 func (s *State) raiseFurther(p *pool) {
-	for p.raising.rank > p.raising.wanted && s.confirmedByAll(p, p.raising.rank) {
+	for p.raising.rank > p.raising.wanted && s.allAnswered(p) {
 		p.raising.rank--
 		s.askClosure(p)
 	}
 }
 
-// askClosure closes the present rank here and asks every live peer to.
+func (s *State) allAnswered(p *pool) bool {
+	for _, peer := range s.livePeers() {
+		if !p.raising.answered[peer.id] {
+			return false
+		}
+	}
+	return true
+}
+
+// askClosure closes the present rank here and asks every live peer to, for no
+// longer than the tiers below stay closed.
 func (s *State) askClosure(p *pool) {
 	r := &p.raising
-	// A peer that came up since has not closed the tiers below: begin there.
-	for r.rank < s.lowestRank() && !s.confirmedByAll(p, r.rank+1) {
-		r.rank++
-	}
 	since := s.lowerClosedSince(p, r.rank)
+	lease := since.Add(CloseLease).Sub(s.now)
 	r.askedAt = s.now
 	r.round++
-	s.closeTier(p.name, r.rank, CloseLease)
+	r.answered = map[Incarnation]bool{}
+	s.closeTier(p.name, r.rank, lease)
+	if lease <= 0 {
+		return
+	}
 	for _, peer := range s.livePeers() {
 		s.send(peer.id, &peerpb.Frame{Body: &peerpb.Frame_TierClose{TierClose: &peerpb.TierClose{
 			Pool: p.name, Rank: uint32(r.rank), Round: r.round,
-			LeaseMs: uint32(CloseLease / time.Millisecond),
+			LeaseMs: uint32(lease / time.Millisecond),
 			Echo:    peer.echoBefore(since),
 		}}})
 	}
@@ -229,26 +245,40 @@
 	return ids
 }
 
-// tierCloseReceived confirms only after everything covered was refused. A
-// closure that comes late, because this process or a link stood still, is not
-// taken: the lower tiers may be open again elsewhere.
+// tierCloseReceived confirms only after everything covered was refused. The
+// closure ends before those of lower tiers end anywhere: one that comes late,
+// because this process or a link stood still, is not taken.
 func (s *State) tierCloseReceived(from Incarnation, c *peerpb.TierClose) {
-	if int(c.GetRank()) < s.lowestRank() && !s.echoFresh(c.GetEcho()) {
+	lease := min(CloseLease, time.Duration(c.GetLeaseMs())*time.Millisecond)
+	if int(c.GetRank()) < s.lowestRank() {
+		lease = min(lease, s.echoLease(c.GetEcho()))
+	}
+	if lease < time.Millisecond {
 		s.count(CounterMessages, "late_closure", 1)
 		return
 	}
-	s.closeTier(c.GetPool(), int(c.GetRank()), time.Duration(c.GetLeaseMs())*time.Millisecond)
+	s.closeTier(c.GetPool(), int(c.GetRank()), lease)
 	s.send(from, &peerpb.Frame{Body: &peerpb.Frame_TierCloseConfirm{TierCloseConfirm: &peerpb.TierCloseConfirm{
-		Pool: c.GetPool(), Rank: c.GetRank(), Round: c.GetRound(),
+		Pool: c.GetPool(), Rank: c.GetRank(), Round: c.GetRound(), LeaseMs: uint32(lease / time.Millisecond),
 	}}})
 }
 
 func (s *State) tierCloseConfirmed(from Incarnation, c *peerpb.TierCloseConfirm) {
 	p := s.pools[c.GetPool()]
-	if p == nil || c.GetRound() != p.raising.round || int(c.GetRank()) != p.raising.rank {
+	if p == nil || p.raising.rank == 0 || c.GetRound() != p.raising.round || int(c.GetRank()) != p.raising.rank {
 		return
 	}
-	p.raising.confirmed[from] = confirmation{rank: int(c.GetRank()), until: p.raising.askedAt.Add(CloseLease)}
+	r := &p.raising
+	closed := r.closed[from]
+	for len(closed) < len(p.closedUntil) {
+		closed = append(closed, 0)
+	}
+	until := r.askedAt.Add(min(CloseLease, time.Duration(c.GetLeaseMs())*time.Millisecond))
+	for rank := r.rank; rank <= len(closed); rank++ {
+		closed[rank-1] = max(closed[rank-1], until)
+	}
+	r.closed[from] = closed
+	r.answered[from] = true
 	s.raiseFurther(p)
 	s.shedPending(p)
 }
@@ -295,10 +325,9 @@
 			*r = raising{round: r.round}
 			continue
 		}
-		if s.now.Sub(r.askedAt) >= CloseRenewInterval {
-			s.askClosure(p)
+		if s.now.Sub(r.begunAt) >= CloseRenewInterval {
+			s.beginRaising(p)
 		}
-		s.raiseFurther(p)
 	}
 }
 
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -6,14 +6,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/balsamstair/balsamstair/internal/boottime"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
 	"github.com/balsamstair/balsamstair/internal/reducer"
 	"github.com/balsamstair/balsamstair/internal/refusal"
@@ -50,6 +47,8 @@
 	Post        func(reducer.Event)
 	// AnswerLimit bounds, in bytes, what is kept of one answer.
 	AnswerLimit int
+	// KeptLimit bounds, in bytes, all whole answers that are kept together.
+	KeptLimit int64
 }
 
 // Exchange connects waiting callers with running requests.
@@ -60,11 +59,15 @@
 	mu      sync.Mutex
 	waiters map[reducer.Waiter]*Waiter
 	runs    map[reducer.RequestID]*run
+	kept    keptAnswers
 }
 
 // New returns an Exchange.
 func New(cfg Config) *Exchange {
-	return &Exchange{cfg: cfg, waiters: map[reducer.Waiter]*Waiter{}, runs: map[reducer.RequestID]*run{}}
+	return &Exchange{
+		cfg: cfg, waiters: map[reducer.Waiter]*Waiter{}, runs: map[reducer.RequestID]*run{},
+		kept: keptAnswers{sizes: map[reducer.RequestID]int64{}},
+	}
 }
 
 // Waiter is one caller's wait for an answer.
@@ -201,7 +204,8 @@
 }
 
 // join attaches a waiter to a run. An answer that has grown past the limit
-// cannot be read from its beginning any more.
+// cannot be read from its beginning any more, and one that is gone was pushed
+// out by newer ones.
 func (x *Exchange) join(e reducer.Join) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -209,12 +213,14 @@
 	if w == nil {
 		return
 	}
+	reason := refusal.AlreadyRan
 	if r := x.runs[e.Request]; r != nil {
+		reason = refusal.AlreadyRunning
 		w.reader = r.journal.attach()
 	}
 	if w.reader == nil {
-		k, _ := refusal.Lookup(refusal.AlreadyRunning)
-		w.verdicts <- Verdict{Request: e.Request, Refused: &reducer.Refused{Reason: refusal.AlreadyRunning, RetryAfter: k.RetryAfter}}
+		k, _ := refusal.Lookup(reason)
+		w.verdicts <- Verdict{Request: e.Request, Refused: &reducer.Refused{Reason: reason, RetryAfter: k.RetryAfter}}
 		return
 	}
 	w.verdicts <- Verdict{Request: e.Request, Answer: &Answer{reader: w.reader, waiter: w}}
@@ -248,241 +254,18 @@
 	x.mu.Lock()
 	r := x.runs[id]
 	delete(x.runs, id)
+	x.kept.remove(id)
 	x.mu.Unlock()
 	if r != nil {
 		go r.abandon()
 	}
 }
 
-// run is one admitted request.
-type run struct {
-	id       reducer.RequestID
-	exchange *Exchange
-	call     *Call
-	journal  *journal
-
-	mu      sync.Mutex
-	conn    *endpoint.Conn
-	address string
-	// endpoint is the name of where the run was dispatched.
-	endpoint string
-	cancel   context.CancelFunc
-	stopped  bool
-}
-
-func newRun(x *Exchange, id reducer.RequestID, call *Call) *run {
-	return &run{id: id, exchange: x, call: call, journal: newJournal(x.cfg.AnswerLimit)}
-}
-
-// wireID names the request to endpoints: unique over all incarnations.
-func (r *run) wireID() string {
-	return fmt.Sprintf("%016x-%x", uint64(r.exchange.cfg.Incarnation), uint64(r.id))
-}
-
-// connect obtains a connection and writes nothing on it.
-func (r *run) connect(e reducer.Connect) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	conn, err := r.exchange.cfg.Client.Connect(ctx, e.Address)
-	if err == nil {
-		r.mu.Lock()
-		r.conn, r.address = conn, e.Address
-		r.mu.Unlock()
-	}
-	r.exchange.cfg.Post(reducer.ConnectDone{Request: r.id, Endpoint: e.Endpoint, OK: err == nil})
-}
-
-func (r *run) takeConn() *endpoint.Conn {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c := r.conn
-	r.conn = nil
-	return c
-}
-
-func (r *run) disconnect() {
-	if c := r.takeConn(); c != nil {
-		c.Close()
-	}
-}
-
-// abandon ends a run that was refused.
-func (r *run) abandon() {
-	r.disconnect()
-	r.journal.end(errRefused)
-}
-
-// cancelRun stops the run at the endpoint too, so that it stops paying.
-func (r *run) cancelRun() {
-	r.mu.Lock()
-	cancel, address := r.cancel, r.address
-	r.stopped = true
-	r.mu.Unlock()
-	if r.call.Engine {
-		ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
-		defer done()
-		r.exchange.cfg.Client.Cancel(ctx, address, r.wireID())
-	}
-	if cancel != nil {
-		cancel()
-	}
-}
-
-// cancelTimeout bounds the order to an engine to stop a run.
-const cancelTimeout = 2 * time.Second
-
-// dispatch writes the request once and records the answer.
-func (r *run) dispatch(e reducer.Dispatch) {
-	started := time.Now()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	r.mu.Lock()
-	r.cancel, r.endpoint = cancel, e.Endpoint
-	r.mu.Unlock()
-	conn := r.takeConn()
-	if conn == nil || boottime.Now() >= int64(e.NotAfter) {
-		if conn != nil {
-			conn.Close()
-		}
-		r.done(reducer.Result{Ended: reducer.EndedNotSent})
-		return
-	}
-	answer, err := conn.Send(ctx, endpoint.Call{
-		Method: r.call.Method, Path: r.call.Path, Header: r.call.Header, Body: r.call.Body, ID: r.wireID(),
-	})
-	if err != nil {
-		r.done(r.sendFailed(err, started))
-		return
-	}
-	r.exchange.cfg.Post(reducer.FirstByte{Request: r.id})
-	res := r.record(ctx, answer, started)
-	res.Elapsed = time.Since(started)
-	r.done(res)
-}
-
-func (r *run) sendFailed(err error, started time.Time) reducer.Result {
-	var se *endpoint.SendError
-	if errors.As(err, &se) && !se.Sent {
-		return reducer.Result{Ended: reducer.EndedNotSent}
-	}
-	return reducer.Result{Ended: r.brokenOrCancelled(), Elapsed: time.Since(started)}
-}
-
-func (r *run) brokenOrCancelled() reducer.Ended {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.stopped {
-		return reducer.EndedCancelled
-	}
-	return reducer.EndedBroken
-}
-
-// done reports the end. A broken journal ends with the reducer's refusal.
-func (r *run) done(res reducer.Result) {
-	r.exchange.cfg.Post(reducer.DispatchDone{Request: r.id, Result: res})
-	if res.Ended == reducer.EndedBroken || res.Ended == reducer.EndedCancelled {
-		r.exchange.forget(r.id)
-	}
-}
-
-// record copies an answer into the journal.
-func (r *run) record(ctx context.Context, a *endpoint.Answer, started time.Time) reducer.Result {
-	if r.call.Engine && a.Status == http.StatusOK {
-		return r.recordEvents(ctx, a, started)
-	}
-	defer a.Body.Close()
-	r.begin(a)
-	buf := make([]byte, 16<<10)
-	for {
-		n, err := a.Body.Read(buf)
-		r.journal.write(buf[:n])
-		if err == io.EOF {
-			return r.ended(a.Status, reducer.Result{})
-		}
-		if err != nil {
-			return reducer.Result{Ended: r.brokenOrCancelled()}
-		}
-	}
-}
-
-func (r *run) ended(status int, res reducer.Result) reducer.Result {
-	r.journal.end(nil)
-	res.Kept = r.journal.kept()
-	if !res.Kept {
-		r.exchange.forget(r.id)
-	}
-	res.Ended = reducer.EndedWhole
-	if status >= http.StatusInternalServerError {
-		res.Ended = reducer.EndedRejected
-	}
-	return res
-}
-
-// EndpointHeader tells a caller which endpoint served it.
-const EndpointHeader = "Balsam-Endpoint"
-
-// begin opens the journal with the head of the answer.
-func (r *run) begin(a *endpoint.Answer) {
-	header := a.Header.Clone()
-	header.Set(EndpointHeader, r.endpoint)
-	r.journal.begin(a.Status, header)
-}
-
-// resumeTries bounds how often one run's stream is resumed.
-const resumeTries = 3
-
-// recordEvents copies an event stream; a cut one is resumed at the endpoint,
-// which is not a dispatch.
-func (r *run) recordEvents(ctx context.Context, a *endpoint.Answer, started time.Time) reducer.Result {
-	r.begin(a)
-	res := reducer.Result{}
-	events := 0
-	for try := 0; ; try++ {
-		err := r.copyEvents(a, &events, &res, started)
-		if err == nil {
-			return r.ended(a.Status, res)
-		}
-		if try >= resumeTries || ctx.Err() != nil {
-			break
-		}
-		a, err = r.exchange.cfg.Client.Resume(ctx, r.address, r.wireID(), events)
-		if err != nil {
-			break
-		}
-	}
-	res.Ended = r.brokenOrCancelled()
-	return res
-}
-
-var (
-	dataPrefix = []byte("data: ")
-	eventEnd   = []byte("\n\n")
-)
-
-func (r *run) copyEvents(a *endpoint.Answer, events *int, res *reducer.Result, started time.Time) error {
-	reader := r.exchange.cfg.Client.Events(a)
-	defer reader.Close()
-	var line []byte
-	for {
-		event, err := reader.Next()
-		if err == io.EOF {
-			r.journal.write([]byte("data: [DONE]\n\n"))
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if *events == 0 {
-			res.FirstToken = time.Since(started)
-		}
-		*events++
-		if u, alone, ok := r.call.UsageOf(event); ok {
-			res.PromptTokens, res.CachedTokens, res.OutputTokens = u.PromptTokens, u.CachedTokens, u.OutputTokens
-			if alone && r.call.HideUsage {
-				continue
-			}
-		}
-		line = append(append(append(line[:0], dataPrefix...), event...), eventEnd...)
-		r.journal.write(line)
+// keep counts a whole answer and lets go of the oldest ones beyond the limit.
+func (x *Exchange) keep(id reducer.RequestID, size int64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, old := range x.kept.add(id, size, x.cfg.KeptLimit) {
+		delete(x.runs, old)
 	}
 }
--- a/internal/traffic/journal.go
+++ b/internal/traffic/journal.go
@@ -93,6 +93,13 @@
 	return j.ended && j.err == nil && j.dropped == 0
 }
 
+// size is how many bytes the journal holds.
+func (j *journal) size() int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return int64(len(j.data))
+}
+
 // attach returns a reader from the beginning, or nil if that is dropped.
 func (j *journal) attach() *reader {
 	j.mu.Lock()
