An instance that has not joined closes no tiers

Ruled out: the lease of the closure, which had been renewed in time. Change: the right to close tiers begins with the first readiness.

--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -356,6 +356,7 @@
 	ready := s.file != nil && !s.stopping && (s.ready || s.metListed())
 	if ready != s.ready {
 		s.ready = ready
+		s.joined = s.joined || ready
 		s.log("ready", "ready", ready)
 		s.emit(ReadyChanged{Ready: ready})
 	}
--- a/internal/reducer/shed.go
+++ b/internal/reducer/shed.go
@@ -95,6 +95,9 @@
 	if rank >= s.lowestRank() {
 		return true
 	}
+	if !s.joined {
+		return false
+	}
 	for r := rank + 1; r <= len(p.tiers); r++ {
 		if p.tiers[r-1].waiting > 0 {
 			return false
@@ -143,7 +146,13 @@
 // requestClosure closes the tiers from the lowest up to rank, one after the
 // other: the next only after every live peer has confirmed the one below, so
 // that no tier is refused anywhere while a lower one waits elsewhere.
+//
+// An instance that has not met its listed peers yet has no right to: one of
+// them may be paused for a moment and not in its view.
 func (s *State) requestClosure(p *pool, rank int) {
+	if !s.joined {
+		return
+	}
 	r := &p.raising
 	r.wantedAt = s.now
 	if r.rank == 0 {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -118,8 +118,10 @@
 
 	startedAt Instant
 	ready     bool
-	stopping  bool
-	stopped   bool
+	// joined says that the instance was ready once.
+	joined   bool
+	stopping bool
+	stopped  bool
 
 	file     *declared.File
 	manifest []byte
