--- a/cmd/balsamd/daemon.go
+++ b/cmd/balsamd/daemon.go
@@ -19,11 +19,13 @@
 	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
 	"github.com/balsamstair/balsamstair/internal/platform"
 	"github.com/balsamstair/balsamstair/internal/reducer"
+	"github.com/balsamstair/balsamstair/internal/refusal"
 	"github.com/balsamstair/balsamstair/internal/settings"
 	"github.com/balsamstair/balsamstair/internal/ticket"
 	"github.com/balsamstair/balsamstair/internal/traffic"
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
+	"golang.org/x/net/netutil"
 )
 
 // peerProtocol is the number of the protocol between instances.
@@ -53,14 +55,16 @@
 		Incarnation:      reducer.Incarnation(d.incarnation),
 		Instance:         set.Instance,
 		AvailabilityZone: set.AvailabilityZone,
+		Guards:           guards(),
 	}, reducer.Instant(boottime.Now())))
-	d.counters = operator.NewCounters()
+	d.counters = operator.NewCounters(counterDefinitions()...)
 	d.endpoints = endpoint.New(endpoint.Config{})
 	d.exchange = traffic.New(traffic.Config{
 		Incarnation: reducer.Incarnation(d.incarnation),
 		Client:      d.endpoints,
 		Post:        d.loop.Post,
 		AnswerLimit: answerLimit,
+		KeptLimit:   set.Limits.KeptAnswerBytes,
 	})
 	if err := d.buildPeers(); err != nil {
 		return nil, err
@@ -112,6 +116,9 @@
 		Peer:        d.peers.RoundTripper,
 		Limits:      d.set.Limits,
 		Log:         d.log.Named("caller"),
+		Refused: func(r refusal.Reason) {
+			d.counters.Add(string(reducer.CounterRefusals), string(r), 1)
+		},
 	})
 }
 
@@ -152,10 +159,14 @@
 }
 
 // stop is the graceful shutdown: the reducer says when nothing is held any
-// more; then the last answers are written out.
+// more; then the last answers are written out. For leaveTime at least, who
+// still comes gets a refusal: a closed listener would drop connections that
+// are just being made.
 func (d *daemon) stop(servers ...*http.Server) {
 	d.loop.Post(reducer.StopRequested{})
+	noticed := time.After(leaveTime)
 	<-d.loop.Stopped()
+	<-noticed
 	ctx, cancel := context.WithTimeout(context.Background(), lastWrites)
 	defer cancel()
 	for _, s := range servers {
@@ -165,6 +176,10 @@
 	}
 }
 
+// leaveTime is how long the platform's balancer may take to see that the
+// instance is not ready any more.
+const leaveTime = 2 * time.Second
+
 // lastWrites bounds how long slow callers may take to read answers that are
 // complete.
 const lastWrites = 10 * time.Second
@@ -194,6 +209,9 @@
 	if err != nil {
 		return nil, err
 	}
+	// Callers beyond the limit wait to be accepted: nobody is refused out of
+	// the order of the tiers.
+	l = netutil.LimitListener(l, d.set.Limits.ConcurrentRequests)
 	t := d.set.TLS
 	if t.CallerCertificateFile == "" {
 		return l, nil
@@ -226,11 +244,12 @@
 	switch e := e.(type) {
 	case reducer.FileAdopted:
 		d.file.Store(e.File)
-		d.setTargets(e.File)
+	case reducer.WatchEndpoints:
+		d.poller.SetTargets(e.Addresses)
 	case reducer.ReadyChanged:
 		d.operator.SetReady(e.Ready)
 	case reducer.Order:
-		d.reconciler.Give(e.Endpoint, e.Address, endpoint.Order{Fencing: e.Fencing, Models: e.Models})
+		d.reconciler.Want(e.Endpoint, e.Address, endpoint.Order{Fencing: e.Fencing, Models: e.Models})
 	default:
 		return false
 	}
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -19,6 +19,7 @@
 	"github.com/balsamstair/balsamstair/internal/ticket"
 	"github.com/balsamstair/balsamstair/internal/traffic"
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/semaphore"
 )
 
 // Headers of the caller interface; docs/CALLERS.md describes them.
@@ -50,13 +51,21 @@
 	Peer   func(incarnation uint64) http.RoundTripper
 	Limits settings.Limits
 	Log    *logline.Logger
+	// Refused counts a refusal that was decided here, without the reducer.
+	Refused func(refusal.Reason)
 }
 
 // Handler serves callers, and peers that forward callers.
-type Handler struct{ cfg Config }
+type Handler struct {
+	cfg Config
+	// bodies bounds the bytes of all requests that are held together.
+	bodies *semaphore.Weighted
+}
 
 // NewHandler returns a Handler.
-func NewHandler(cfg Config) *Handler { return &Handler{cfg: cfg} }
+func NewHandler(cfg Config) *Handler {
+	return &Handler{cfg: cfg, bodies: semaphore.NewWeighted(cfg.Limits.BodiesBytes)}
+}
 
 // work is one authenticated request with its body.
 type work struct {
@@ -64,23 +73,30 @@
 	organisation *declared.Organisation
 	call         *traffic.Call
 	request      reducer.Request
+	// reserved is the room that the body takes among all bodies.
+	reserved int64
 	// body is what the caller sent, for forwarding.
 	body   []byte
 	stream bool
 	ticket string
+	// problem says what is wrong with a request that is refused as bad.
+	problem string
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	k, reason := h.read(w, r)
+	defer func() { h.bodies.Release(k.reserved) }()
 	if reason != "" {
-		h.refuse(w, &refusedRequest{reason: reason})
+		// A ticket that is no ticket stands for nothing that could have run.
+		resent := r.Header.Get(HeaderTicket) != "" && reason != refusal.TicketInvalid
+		h.refuseHere(w, &refusedRequest{reason: reason, detail: k.problem, resent: resent})
 		h.log(r, k, "", string(reason), started)
 		return
 	}
 	if k.ticket != "" && k.request.Ticket.Request == 0 {
-		h.forward(w, r, k)
+		h.forward(w, r, k, started)
 		h.log(r, k, "", "forwarded", started)
 		return
 	}
@@ -100,7 +116,7 @@
 	if k.organisation, ok = h.authenticate(k.file, r); !ok {
 		return k, refusal.Unauthorised
 	}
-	body, reason := h.readBody(w, r)
+	body, reason := h.readBody(k, w, r)
 	if reason != "" {
 		return k, reason
 	}
@@ -119,7 +135,21 @@
 	return f.OrganisationByKey(key)
 }
 
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, refusal.Reason) {
+// readBody waits for room among the bodies that are held, then reads. A caller
+// that has to wait for room is not refused: which request gives way is for the
+// tiers to decide, and they cannot yet.
+func (h *Handler) readBody(k *work, w http.ResponseWriter, r *http.Request) ([]byte, refusal.Reason) {
+	room := h.cfg.Limits.BodyBytes
+	if r.ContentLength > room {
+		return nil, refusal.TooLarge
+	}
+	if r.ContentLength >= 0 {
+		room = r.ContentLength
+	}
+	if h.bodies.Acquire(r.Context(), room) != nil {
+		return nil, refusal.CallerGone
+	}
+	k.reserved = room
 	rc := http.NewResponseController(w)
 	// A writer without deadlines, as over a peer's session, has its own limits.
 	_ = rc.SetReadDeadline(time.Now().Add(h.cfg.Limits.IdleTimeout()))
@@ -239,11 +269,11 @@
 // forward sends a request to the incarnation that minted its ticket. Nobody
 // else can say whether it ran: where that one cannot be asked, the outcome is
 // unknown, and it is never run here.
-func (h *Handler) forward(w http.ResponseWriter, r *http.Request, k *work) {
+func (h *Handler) forward(w http.ResponseWriter, r *http.Request, k *work, started time.Time) {
 	t, _ := ticket.Parse(k.ticket)
 	peer := h.cfg.Peer(t.Incarnation)
 	if peer == nil || r.Header.Get(headerForwarded) != "" {
-		h.refuse(w, &refusedRequest{reason: refusal.OutcomeUnknown})
+		h.refuseHere(w, &refusedRequest{reason: refusal.OutcomeUnknown})
 		return
 	}
 	out := r.Clone(r.Context())
@@ -254,13 +284,25 @@
 	out.Body, out.ContentLength, out.GetBody = io.NopCloser(bytes.NewReader(k.body)), int64(len(k.body)), nil
 	resp, err := peer.RoundTrip(out)
 	if err != nil {
-		h.refuse(w, &refusedRequest{reason: refusal.OutcomeUnknown})
+		h.refuseHere(w, &refusedRequest{reason: refusal.OutcomeUnknown})
 		return
 	}
 	defer resp.Body.Close()
 	copyHead(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
-	h.copyBody(w, resp.Body)
+	if err := h.copyBody(w, resp.Body); err != nil {
+		h.cutForwarded(w, r, k, resp, started)
+	}
+}
+
+// cutForwarded ends an answer that broke on its way through a peer, so that
+// it cannot look whole.
+func (h *Handler) cutForwarded(w http.ResponseWriter, r *http.Request, k *work, resp *http.Response, started time.Time) {
+	if resp.Header.Get("Content-Type") == eventStream && r.Context().Err() == nil {
+		writeError(w, &refusedRequest{reason: refusal.AnswerCut, request: resp.Header.Get(HeaderRequest)})
+	}
+	h.log(r, k, resp.Header.Get(HeaderRequest), string(refusal.AnswerCut), started)
+	panic(http.ErrAbortHandler)
 }
 
 // log writes one line for each request; never a key, a prompt or an answer.
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -45,6 +45,10 @@
 	CloseLease = 3 * time.Second
 	// CloseRenewInterval is the time between renewals of a closure.
 	CloseRenewInterval = time.Second
+	// ReportWait is how long an owner grants on one report of an endpoint, and
+	// how long a new owner waits for the first. A process that was paused
+	// longer than that asks the endpoint again before it grants.
+	ReportWait = 3 * time.Second
 	// JoinWait bounds how long a fresh instance waits for listed peers that
 	// it cannot reach.
 	JoinWait = 3 * time.Second
@@ -129,9 +133,12 @@
 	peerOrder    []*peer
 	heartbeatSeq uint64
 	heartbeatAt  Instant
+	// heartbeatsSent are this instance's own last sequences.
+	heartbeatsSent [heartbeatMemory]heartbeatTime
 
 	endpoints     map[string]*endpoint
 	endpointOrder []*endpoint
+	watched       map[string]string
 	pools         map[string]*pool
 	poolOrder     []*pool
 
