--- /dev/null
+++ b/internal/platform/change_test.go
@@ -0,0 +1,151 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/balsamstair/balsamstair/internal/standin"
+)
+
+// changesPerDay and secondsPerDay turn the cost of a change into a rate.
+const (
+	changesPerDay = 4900
+	secondsPerDay = 24 * 60 * 60
+	// The slope is taken between two numbers of organisations.
+	baseOrganisations = 490
+	aimOrganisations  = 4900
+)
+
+// organisation returns one organisation of the declared file.
+func organisation(i, spend int) []byte {
+	return fmt.Appendf(nil, "[[organisation]]\nname = \"organisation-%04d\"\nkey_sha256 = [\"%x\"]\n"+
+		"tiers = { bulk = 1 }\ndefault_tier = \"bulk\"\nspend_micros_per_month = %d\n\n",
+		i, sha256.Sum256(fmt.Append(nil, i)), spend)
+}
+
+// publication is a declared file, whole or as a manifest with parts.
+type publication struct {
+	manifest []byte
+	parts    [][]byte
+}
+
+// publicationOf divides a file of organisations, given by their limits, into
+// parts of equal length; zero parts make a whole file.
+func publicationOf(spends []int, parts, revision int) publication {
+	var p publication
+	head := fmt.Appendf(nil, "revision = %d\n", revision)
+	blocks := make([]bytes.Buffer, max(1, parts))
+	for i, spend := range spends {
+		blocks[i*len(blocks)/len(spends)].Write(organisation(i, spend))
+	}
+	if parts == 0 {
+		p.manifest = append(head, blocks[0].Bytes()...)
+		return p
+	}
+	p.manifest = append([]byte("manifest = true\n"), head...)
+	for i := range blocks {
+		part := blocks[i].Bytes()
+		p.parts = append(p.parts, part)
+		p.manifest = fmt.Appendf(p.manifest, "[[part]]\nkey = \"organisations-%03d\"\nsha256 = \"%x\"\n", i, sha256.Sum256(part))
+	}
+	return p
+}
+
+func (p publication) publish(to *standin.Platform) {
+	for i, part := range p.parts {
+		to.PublishValue(fmt.Sprintf("organisations-%03d", i), part)
+	}
+	to.PublishValue(FileKey, p.manifest)
+}
+
+// BenchmarkChange measures what one reader pays for one changed organisation.
+// The part counts are near the root of the file's length over a manifest
+// entry's, where manifest and part together are smallest.
+func BenchmarkChange(b *testing.B) {
+	for _, divided := range []bool{false, true} {
+		cost := make(map[int]float64)
+		name := "whole"
+		if divided {
+			name = "parts"
+		}
+		for _, organisations := range []int{5, baseOrganisations, 1633, aimOrganisations} {
+			parts := 0
+			if divided {
+				parts = partsFor(organisations)
+			}
+			b.Run(fmt.Sprintf("%s/organisations=%d", name, organisations), func(b *testing.B) {
+				cost[organisations] = measureChange(b, organisations, parts)
+				if organisations == aimOrganisations {
+					reportSlope(b, cost)
+				}
+			})
+		}
+	}
+}
+
+// reportSlope reports the bytes that one more organisation adds to a change,
+// and the rate at the aimed size.
+func reportSlope(b *testing.B, cost map[int]float64) {
+	added := cost[aimOrganisations] - cost[baseOrganisations]
+	b.ReportMetric(added/(aimOrganisations-baseOrganisations), "bytes/change/organisation")
+	b.ReportMetric(cost[aimOrganisations]*changesPerDay/secondsPerDay, "bytes/s-at-4900-changes/day")
+}
+
+// partsFor returns the number of parts for a file.
+func partsFor(organisations int) int {
+	const organisationBytes, entryBytes = 210, 115
+	parts := 1
+	for parts*parts*entryBytes < organisations*organisationBytes {
+		parts++
+	}
+	return min(parts, organisations)
+}
+
+// measureChange returns the bytes of values that a reader received for each
+// change.
+func measureChange(b *testing.B, organisations, parts int) float64 {
+	platform := standin.NewPlatform()
+	server := httptest.NewServer(platform)
+	defer server.Close()
+	client, err := New(Options{Address: server.Listener.Addr().String(), MinInterval: 1, Seed: 1})
+	must.NoError(b, err)
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	spends := make([]int, organisations)
+	for i := range spends {
+		spends[i] = 1_000_000_000
+	}
+	initial := publicationOf(spends, parts, 1)
+	must.LessEq(b, MaxValueBytes, len(initial.manifest), must.Sprint("the platform holds no such value"))
+	initial.publish(platform)
+	files := make(chan FileRead)
+	go func() { _ = client.WatchFile(ctx, func(f FileRead) { files <- f }) }()
+	first := <-files
+	before, callsBefore := client.Stats(), platform.Calls().Total
+	b.ResetTimer()
+	for n := 1; n <= b.N; n++ {
+		b.StopTimer()
+		spends[n*7919%organisations]++
+		p := publicationOf(spends, parts, n+1)
+		b.StartTimer()
+		p.publish(platform)
+		must.True(b, bytes.Equal(p.manifest, (<-files).Manifest))
+	}
+	b.StopTimer()
+	after := client.Stats()
+	perChange := float64(after.Bytes-before.Bytes) / float64(b.N)
+	fileBytes := len(first.Manifest)
+	for _, part := range first.Parts {
+		fileBytes += len(part)
+	}
+	b.ReportMetric(float64(fileBytes), "file-bytes")
+	b.ReportMetric(perChange, "bytes/change")
+	b.ReportMetric(float64(platform.Calls().Total-callsBefore)/float64(b.N), "calls/change")
+	return perChange
+}
