--- a/cmd/balsam-standin/options.go
+++ b/cmd/balsam-standin/options.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
 	"github.com/cockroachdb/errors"
 
 	"github.com/balsamstair/balsamstair/internal/declared"
@@ -164,16 +163,17 @@
 	if o.fromDeclared == "" {
 		return nil, nil
 	}
-	var file declared.File
-	if _, err := toml.DecodeFile(o.fromDeclared, &file); err != nil {
+	data, err := os.ReadFile(o.fromDeclared)
+	if err != nil {
+		return nil, errors.Wrap(err, "-from-declared")
+	}
+	file, err := declared.Parse(data)
+	if err != nil {
 		return nil, errors.Wrap(err, "-from-declared")
 	}
 	var stands []stand
 	for i, endpoint := range file.Endpoints {
 		class := file.Class(endpoint.Class)
-		if class == nil {
-			return nil, errors.Newf("-from-declared: endpoint %q has the unknown class %q", endpoint.Name, endpoint.Class)
-		}
 		if class.Kind == declared.KindService {
 			stands = append(stands, newService(o.service, endpoint.Name, endpoint.Address, recorder))
 			continue
--- a/internal/platform/change_test.go
+++ b/internal/platform/change_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/balsamstair/balsamstair/internal/declared"
 	"github.com/balsamstair/balsamstair/internal/standin"
 )
 
@@ -61,7 +62,7 @@
 	for i, part := range p.parts {
 		to.PublishValue(fmt.Sprintf("organisations-%03d", i), part)
 	}
-	to.PublishValue(FileKey, p.manifest)
+	to.PublishValue(declared.Key, p.manifest)
 }
 
 // BenchmarkChange measures what one reader pays for one changed organisation.
@@ -122,7 +123,7 @@
 		spends[i] = 1_000_000_000
 	}
 	initial := publicationOf(spends, parts, 1)
-	must.LessEq(b, MaxValueBytes, len(initial.manifest), must.Sprint("the platform holds no such value"))
+	must.LessEq(b, declared.MaxValueBytes, len(initial.manifest), must.Sprint("the platform holds no such value"))
 	initial.publish(platform)
 	files := make(chan FileRead)
 	go func() { _ = client.WatchFile(ctx, func(f FileRead) { files <- f }) }()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,16 +12,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/balsamstair/balsamstair/internal/declared"
 )
 
 const (
-	// MaxValueBytes bounds one value; the platform holds none larger.
-	MaxValueBytes = 1 << 20
-	// MaxFileBytes bounds all parts of one manifest together.
-	MaxFileBytes = 8 << 20
-	// FileKey is the key of the declared file or its manifest.
-	FileKey = "declared"
-
+	valuesPath    = "/v1/values/"
+	instancesPath = "/v1/instances"
 	versionHeader = "X-Version"
 )
 
@@ -159,13 +156,13 @@
 	if response.StatusCode == http.StatusNotModified || version == after {
 		return reading{version: version}
 	}
-	bytes, err := io.ReadAll(io.LimitReader(response.Body, MaxValueBytes+1))
+	bytes, err := io.ReadAll(io.LimitReader(response.Body, declared.MaxValueBytes+1))
 	c.stats.bytes(len(bytes))
 	switch {
 	case err != nil:
 		return failure(transportReason(ctx), err)
-	case len(bytes) > MaxValueBytes:
-		r := failure(ReasonTooLarge, errors.Newf("a value above %d bytes", MaxValueBytes))
+	case len(bytes) > declared.MaxValueBytes:
+		r := failure(ReasonTooLarge, errors.Newf("a value above %d bytes", declared.MaxValueBytes))
 		r.version = version
 		return r
 	}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/balsamstair/balsamstair/internal/declared"
 	"github.com/balsamstair/balsamstair/internal/reducer"
 )
 
@@ -50,8 +51,8 @@
 // FileWatcher returns a service that hands each change of the declared file
 // to onFile, on its own goroutine.
 func (c *Client) FileWatcher(onFile func(FileRead)) *Watcher {
-	w := c.newWatcher("platform file", "/v1/values/"+FileKey, fileStream)
-	reader := &fileReader{client: c, held: make(map[digest][]byte), onFile: onFile}
+	w := c.newWatcher("platform file", valuesPath+declared.Key, fileStream)
+	reader := &fileReader{client: c, held: make(map[declared.Digest][]byte), onFile: onFile}
 	w.take = reader.take
 	return w
 }
@@ -59,7 +60,7 @@
 // InstancesWatcher returns a service that hands each change of the instance
 // list to onInstances, on its own goroutine.
 func (c *Client) InstancesWatcher(onInstances func([]reducer.Instance)) *Watcher {
-	w := c.newWatcher("platform instances", "/v1/instances", instancesStream)
+	w := c.newWatcher("platform instances", instancesPath, instancesStream)
 	w.take = func(_ context.Context, r reading) (Reason, error) {
 		instances, err := parseInstances(r.bytes)
 		if err != nil {
@@ -198,17 +199,17 @@
 	client *Client
 	// held has the parts of the manifest read last, as far as they were
 	// fetched.
-	held   map[digest][]byte
+	held   map[declared.Digest][]byte
 	onFile func(FileRead)
 }
 
 func (f *fileReader) take(ctx context.Context, r reading) (Reason, error) {
-	if !isManifest(r.bytes) {
+	if !declared.IsManifest(r.bytes) {
 		clear(f.held)
 		f.onFile(FileRead{Manifest: r.bytes, Version: r.version})
 		return "", nil
 	}
-	m, err := parseManifest(r.bytes)
+	m, err := declared.ParseManifest(r.bytes)
 	if err != nil {
 		return ReasonManifest, err
 	}
@@ -222,7 +223,7 @@
 }
 
 // parts returns the parts of a manifest and fetches those that are not held.
-func (f *fileReader) parts(ctx context.Context, m *manifest) ([][]byte, Reason, error) {
+func (f *fileReader) parts(ctx context.Context, m *declared.Manifest) ([][]byte, Reason, error) {
 	parts := make([][]byte, 0, len(m.Parts))
 	total := 0
 	for _, p := range m.Parts {
@@ -231,35 +232,36 @@
 			return nil, reason, errors.Wrapf(err, "part %q", p.Key)
 		}
 		total += len(part)
-		if total > MaxFileBytes {
-			return nil, ReasonTooLarge, errors.Newf("a file above %d bytes", MaxFileBytes)
+		if total > declared.MaxFileBytes {
+			return nil, ReasonTooLarge, errors.Newf("a file above %d bytes", declared.MaxFileBytes)
 		}
 		parts = append(parts, part)
 	}
 	return parts, "", nil
 }
 
-func (f *fileReader) part(ctx context.Context, p manifestPart) ([]byte, Reason, error) {
-	if part, ok := f.held[p.digest]; ok {
+func (f *fileReader) part(ctx context.Context, p declared.Part) ([]byte, Reason, error) {
+	digest := p.Digest()
+	if part, ok := f.held[digest]; ok {
 		f.client.stats.reused()
 		return part, "", nil
 	}
-	r := f.client.read(ctx, "/v1/values/"+p.Key, 0, 0)
+	r := f.client.read(ctx, valuesPath+p.Key, 0, 0)
 	if r.failed != "" {
 		return nil, r.failed, r.err
 	}
-	if sha256.Sum256(r.bytes) != p.digest {
+	if sha256.Sum256(r.bytes) != digest {
 		return nil, ReasonPartDigest, errors.New("not the part that the manifest names")
 	}
-	f.held[p.digest] = r.bytes
+	f.held[digest] = r.bytes
 	return r.bytes, "", nil
 }
 
 // keepOnly drops the parts that a manifest does not name.
-func (f *fileReader) keepOnly(m *manifest) {
-	named := make(map[digest]bool, len(m.Parts))
+func (f *fileReader) keepOnly(m *declared.Manifest) {
+	named := make(map[declared.Digest]bool, len(m.Parts))
 	for _, p := range m.Parts {
-		named[p.digest] = true
+		named[p.Digest()] = true
 	}
 	for d := range f.held {
 		if !named[d] {
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/balsamstair/balsamstair/internal/declared"
 	"github.com/balsamstair/balsamstair/internal/reducer"
 	"github.com/balsamstair/balsamstair/internal/standin"
 )
@@ -75,7 +76,7 @@
 
 func (b *bench) publish(files ...string) {
 	for _, f := range files {
-		b.platform.PublishValue(FileKey, []byte(f))
+		b.platform.PublishValue(declared.Key, []byte(f))
 	}
 }
 
@@ -131,7 +132,7 @@
 	withBench(t, func(t *testing.T, b *bench) {
 		b.publish("zero")
 		settle()
-		before := b.platform.Calls().ByKey[FileKey]
+		before := b.platform.Calls().ByKey[declared.Key]
 		for i := range 1000 {
 			b.publish(fmt.Sprint(i))
 			time.Sleep(time.Millisecond)
@@ -140,7 +141,7 @@
 		got := b.received()
 		must.Eq(t, "999", got[len(got)-1])
 		must.LessEq(t, 8, len(got)) // a second at 200 ms each, both ends and the first
-		must.LessEq(t, 10, b.platform.Calls().ByKey[FileKey]-before)
+		must.LessEq(t, 10, b.platform.Calls().ByKey[declared.Key]-before)
 	})
 }
 
@@ -188,14 +189,13 @@
 		"no digest":    "manifest = true\n[[part]]\nkey = \"k\"\nsha256 = \"00\"\n",
 		"own key":      "manifest = true\n" + strings.Replace(part, `"k"`, `"declared"`, 1),
 		"no TOML":      "manifest = true\n[[part]\n",
-		"too many":     "manifest = true\n" + strings.Repeat(part, maxParts+1),
-		"above 1 MB":   strings.Repeat("x", MaxValueBytes+1),
+		"above 1 MB":   strings.Repeat("x", declared.MaxValueBytes+1),
 		"endless part": "",
 	} {
 		t.Run(name, func(t *testing.T) {
 			withBench(t, func(t *testing.T, b *bench) {
 				if m == "" {
-					m = b.manifestOf(1, strings.Repeat("x", MaxValueBytes+1))
+					m = b.manifestOf(1, strings.Repeat("x", declared.MaxValueBytes+1))
 				}
 				b.publish(m)
 				settle()
@@ -210,15 +210,6 @@
 	}
 }
 
-func TestFileIsNotTakenForAManifest(t *testing.T) {
-	for _, f := range []string{
-		"revision = 1\n[[tier]]\nmanifest = true\n", "[a]\nmanifest = true", "manifest = false", "manifest = ", "",
-	} {
-		must.False(t, isManifest([]byte(f)), must.Sprint(f))
-	}
-	must.True(t, isManifest([]byte("# head\nmanifest = true\n[[part]")))
-}
-
 func TestPlatformFailures(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
@@ -236,12 +227,12 @@
 			withBench(t, func(t *testing.T, b *bench) {
 				b.publish("before")
 				settle()
-				calls := b.platform.Calls().ByKey[FileKey]
+				calls := b.platform.Calls().ByKey[declared.Key]
 				b.platform.SetFaults(tc.faults)
 				b.publish("during")
 				time.Sleep(time.Hour)
 				must.Positive(t, b.client.Stats().Failures[tc.reason])
-				must.LessEq(t, tc.calls, b.platform.Calls().ByKey[FileKey]-calls)
+				must.LessEq(t, tc.calls, b.platform.Calls().ByKey[declared.Key]-calls)
 
 				b.platform.SetFaults(standin.PlatformFaults{})
 				b.publish("after")
@@ -261,7 +252,7 @@
 		settle()
 		must.Eq(t, []string{"two"}, b.received())
 		stale := standin.NewPlatform()
-		stale.PublishValue(FileKey, []byte("one"))
+		stale.PublishValue(declared.Key, []byte("one"))
 		b.platform.SetFaults(standin.PlatformFaults{Down: true})
 		b.served.Store(stale)
 		time.Sleep(DefaultStaleReset / 2)
@@ -271,7 +262,7 @@
 		// A platform that goes on so has begun to count anew.
 		time.Sleep(DefaultStaleReset)
 		must.Eq(t, []string{"one"}, b.received())
-		stale.PublishValue(FileKey, []byte("three"))
+		stale.PublishValue(declared.Key, []byte("three"))
 		settle()
 		must.Eq(t, []string{"three"}, b.received())
 	})
@@ -294,7 +285,7 @@
 		must.Eq(t, 0, len(<-b.lists))
 		must.Eq(t, want, <-b.lists)
 		for i, bad := range []string{
-			"", "null", "{}", "[{}]", "[null]", `[] []`, good + "x", "[" + strings.Repeat(" ", MaxValueBytes) + "]",
+			"", "null", "{}", "[{}]", "[null]", `[] []`, good + "x", "[" + strings.Repeat(" ", declared.MaxValueBytes) + "]",
 			entry("host:1"), entry("10.0.0.2"), entry("10.0.0.2:0"), entry("0.0.0.0:1"), entry(""),
 			`[{"name":"a","availability_zone":"z","peer_address":"10.0.0.2:1","zone":1}]`,
 			`[{"name":"","availability_zone":"z","peer_address":"10.0.0.2:1"}]`,
