--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -101,3 +102,35 @@
 	b.Cleanup(func() { cancel(); <-done })
 	return t
 }
+
+// BenchmarkIdleSession reports the memory of one end of an idle session, stacks
+// of its goroutines included.
+func BenchmarkIdleSession(b *testing.B) {
+	const sessions = 100
+	for range b.N {
+		hub := serveBench(b, 1, &notify{make(chan struct{}, sessions), nil})
+		address, err := hub.Listen()
+		must.NoError(b, err)
+		before := memoryInUse()
+		for inc := range uint64(sessions) {
+			end := newNotify()
+			t := serveBench(b, inc+2, end)
+			for t.Stats().Sessions == 0 {
+				t.Connect(address.String())
+			}
+			<-end.up
+		}
+		for hub.Stats().Peers < sessions {
+			runtime.Gosched()
+		}
+		b.ReportMetric(float64(memoryInUse()-before)/(2*sessions), "B/session")
+	}
+}
+
+func memoryInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
