--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -50,6 +50,8 @@
 	Peer   func(incarnation uint64) http.RoundTripper
 	Limits settings.Limits
 	Log    *logline.Logger
+	// Refused counts a refusal that was decided here, without the reducer.
+	Refused func(refusal.Reason)
 }
 
 // Handler serves callers, and peers that forward callers.
@@ -68,6 +70,8 @@
 	body   []byte
 	stream bool
 	ticket string
+	// problem says what is wrong with a request that is refused as bad.
+	problem string
 }
 
 // ServeHTTP implements http.Handler.
@@ -75,12 +79,14 @@
 	started := time.Now()
 	k, reason := h.read(w, r)
 	if reason != "" {
-		h.refuse(w, &refusedRequest{reason: reason})
+		// A ticket that is no ticket stands for nothing that could have run.
+		resent := r.Header.Get(HeaderTicket) != "" && reason != refusal.TicketInvalid
+		h.refuseHere(w, &refusedRequest{reason: reason, detail: k.problem, resent: resent})
 		h.log(r, k, "", string(reason), started)
 		return
 	}
 	if k.ticket != "" && k.request.Ticket.Request == 0 {
-		h.forward(w, r, k)
+		h.forward(w, r, k, started)
 		h.log(r, k, "", "forwarded", started)
 		return
 	}
@@ -239,11 +245,11 @@
 // forward sends a request to the incarnation that minted its ticket. Nobody
 // else can say whether it ran: where that one cannot be asked, the outcome is
 // unknown, and it is never run here.
-func (h *Handler) forward(w http.ResponseWriter, r *http.Request, k *work) {
+func (h *Handler) forward(w http.ResponseWriter, r *http.Request, k *work, started time.Time) {
 	t, _ := ticket.Parse(k.ticket)
 	peer := h.cfg.Peer(t.Incarnation)
 	if peer == nil || r.Header.Get(headerForwarded) != "" {
-		h.refuse(w, &refusedRequest{reason: refusal.OutcomeUnknown})
+		h.refuseHere(w, &refusedRequest{reason: refusal.OutcomeUnknown})
 		return
 	}
 	out := r.Clone(r.Context())
@@ -254,13 +260,25 @@
 	out.Body, out.ContentLength, out.GetBody = io.NopCloser(bytes.NewReader(k.body)), int64(len(k.body)), nil
 	resp, err := peer.RoundTrip(out)
 	if err != nil {
-		h.refuse(w, &refusedRequest{reason: refusal.OutcomeUnknown})
+		h.refuseHere(w, &refusedRequest{reason: refusal.OutcomeUnknown})
 		return
 	}
 	defer resp.Body.Close()
 	copyHead(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
-	h.copyBody(w, resp.Body)
+	if err := h.copyBody(w, resp.Body); err != nil {
+		h.cutForwarded(w, r, k, resp, started)
+	}
+}
+
+// cutForwarded ends an answer that broke on its way through a peer, so that
+// it cannot look whole.
+func (h *Handler) cutForwarded(w http.ResponseWriter, r *http.Request, k *work, resp *http.Response, started time.Time) {
+	if resp.Header.Get("Content-Type") == eventStream && r.Context().Err() == nil {
+		writeError(w, &refusedRequest{reason: refusal.AnswerCut, request: resp.Header.Get(HeaderRequest)})
+	}
+	h.log(r, k, resp.Header.Get(HeaderRequest), string(refusal.AnswerCut), started)
+	panic(http.ErrAbortHandler)
 }
 
 // log writes one line for each request; never a key, a prompt or an answer.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -37,8 +38,10 @@
 	deadline Instant
 	reserved int64
 
-	owner    Incarnation
-	endpoint string
+	owner Incarnation
+	// declinedBy is an owner that just said to ask elsewhere.
+	declinedBy Incarnation
+	endpoint   string
 	// leaseEnds bounds the use of the grant.
 	leaseEnds Instant
 	// cancelAt is set while a run goes on for nobody.
@@ -81,10 +84,11 @@
 // refuseAtDoor checks what needs no queue. Nothing was dispatched.
 func (s *State) refuseAtDoor(q *Request) (refusal.Reason, bool) {
 	switch {
-	case s.file == nil:
-		return refusal.NotReady, false
 	case s.stopping:
 		return refusal.Leaving, false
+	case !s.ready:
+		// Closures of peers are not known yet.
+		return refusal.NotReady, false
 	case len(s.records) >= MaxRecords:
 		return refusal.TicketTableFull, false
 	case s.rank(q.Tier) == 0:
@@ -199,7 +203,7 @@
 	for id := range s.requests {
 		ids = append(ids, id)
 	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	slices.Sort(ids)
 	return ids
 }
 
@@ -241,7 +245,7 @@
 	home := s.prefixHome(p, r.req.Prefix)
 	for _, o := range p.owners {
 		wait, ok := s.expectedWait(p, o, r)
-		if !ok {
+		if !ok || o.id == r.declinedBy {
 			continue
 		}
 		if o.id == home {
@@ -444,12 +448,12 @@
 		return
 	}
 	reason := refusal.Reason(d.GetReason())
-	if reason == declineMoved {
+	if reason == declineMoved || s.lateDecline(from, r, reason, d) {
 		s.count(CounterRetries, string(RetryOwnerDeclined), 1)
-		r.owner = 0
-		if from != s.cfg.Incarnation {
-			s.ask(r)
-		}
+		// Until the next tick another owner is asked, if there is one: two
+		// views that differ must not send an ask back and forth.
+		r.owner, r.declinedBy = 0, from
+		s.ask(r)
 		return
 	}
 	if _, ok := refusal.Lookup(reason); !ok {
@@ -458,6 +462,14 @@
 	s.refuseRequest(r, reason, time.Duration(d.GetRetryAfterMs())*time.Millisecond)
 }
 
+// lateDecline reports whether a refusal for lack of capacity comes when lower
+// tiers may be open again elsewhere. Nothing was told to the caller yet, so
+// asking again is right.
+func (s *State) lateDecline(from Incarnation, r *request, reason refusal.Reason, d *peerpb.Decline) bool {
+	capacity := reason == refusal.Shed || reason == refusal.DeadlineUnmet
+	return capacity && from != s.cfg.Incarnation && r.rank < s.lowestRank() && !s.echoFresh(d.GetEcho())
+}
+
 // refuseRequest is the final word on a request that did not run.
 func (s *State) refuseRequest(r *request, reason refusal.Reason, retryAfter time.Duration) {
 	if r.phase == asking && r.owner != 0 {
@@ -518,25 +530,46 @@
 
 // tickRequests ends what has run out of time.
 func (s *State) tickRequests() {
-	for _, id := range s.sortedRequests() {
-		r := s.requests[id]
-		if r == nil {
-			continue
+	var due []RequestID
+	for id, r := range s.requests {
+		if s.due(r) {
+			due = append(due, id)
 		}
-		switch {
-		case r.waiting() && s.now >= r.deadline:
-			s.refuseRequest(r, refusal.DeadlinePassed, 0)
-		case r.phase == funding:
-			s.fund(r)
-		case r.phase == asking && r.owner == 0:
-			s.ask(r)
-		case r.phase == dispatched && r.cancelAt != 0 && s.now >= r.cancelAt && !r.cancelling:
-			r.cancelling = true
-			s.emit(Cancel{Request: r.id})
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		if r := s.requests[id]; r != nil {
+			s.tickRequest(r)
 		}
 	}
 }
 
+// due reports whether a request has something to do by time alone.
+func (s *State) due(r *request) bool {
+	switch {
+	case r.waiting() && s.now >= r.deadline, r.phase == funding:
+		return true
+	case r.phase == asking:
+		return r.owner == 0
+	}
+	return r.phase == dispatched && r.cancelAt != 0 && s.now >= r.cancelAt && !r.cancelling
+}
+
+func (s *State) tickRequest(r *request) {
+	switch {
+	case r.waiting() && s.now >= r.deadline:
+		s.refuseRequest(r, refusal.DeadlinePassed, 0)
+	case r.phase == funding:
+		s.fund(r)
+	case r.phase == asking:
+		r.declinedBy = 0
+		s.ask(r)
+	default:
+		r.cancelling = true
+		s.emit(Cancel{Request: r.id})
+	}
+}
+
 // moveAsksFrom asks elsewhere for what waits at an owner that gets no new
 // work. A grant of the former owner that still comes is returned.
 func (s *State) moveAsksFrom(owner Incarnation) {
