--- /dev/null
+++ b/internal/caller/handler_test.go
@@ -0,0 +1,342 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/boottime"
+	"github.com/balsamstair/balsamstair/internal/control"
+	"github.com/balsamstair/balsamstair/internal/declared"
+	"github.com/balsamstair/balsamstair/internal/endpoint"
+	"github.com/balsamstair/balsamstair/internal/logline"
+	"github.com/balsamstair/balsamstair/internal/reducer"
+	"github.com/balsamstair/balsamstair/internal/refusal"
+	"github.com/balsamstair/balsamstair/internal/settings"
+	"github.com/balsamstair/balsamstair/internal/standin"
+	"github.com/balsamstair/balsamstair/internal/ticket"
+	"github.com/balsamstair/balsamstair/internal/traffic"
+	"github.com/shoenig/test/must"
+)
+
+const testFile = `revision = 1
+currency = "EUR"
+[[tier]]
+name = "gold"
+rank = 1
+deadline_ms = 20000
+[[tier]]
+name = "bronze"
+rank = 2
+deadline_ms = 20000
+[[class]]
+name = "engines"
+kind = "engine"
+prefill_tokens_per_second = 8000
+decode_tokens_per_second = 1000
+[[class]]
+name = "services"
+kind = "service"
+calls_per_second = 100
+[[endpoint]]
+name = "e0"
+class = "engines"
+availability_zone = "a"
+address = %q
+models = ["chat"]
+slots = 8
+[[endpoint]]
+name = "s0"
+class = "services"
+availability_zone = "a"
+address = %q
+models = ["bookings"]
+slots = 8
+[[route]]
+name = "book"
+method = "POST"
+path = "/bookings"
+pool = "bookings"
+idempotent = false
+tier = "gold"
+[[organisation]]
+name = "one"
+key_sha256 = ["%x"]
+default_tier = "gold"
+[organisation.tiers]
+gold = 50
+[[organisation]]
+name = "two"
+key_sha256 = ["%x"]
+default_tier = "bronze"
+[organisation.tiers]
+bronze = 50
+`
+
+// lockedBuffer collects log lines.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// rig is one instance in process, with an engine and a service beside it.
+type rig struct {
+	url      string
+	handler  *Handler
+	recorder *standin.Recorder
+	log      lockedBuffer
+	refused  atomic.Int64
+}
+
+// carryFile keeps the file in force for the handler.
+type carryFile struct{ file *atomic.Pointer[declared.File] }
+
+func (c carryFile) Carry(e reducer.Effect) bool {
+	if f, ok := e.(reducer.FileAdopted); ok {
+		c.file.Store(f.File)
+	}
+	return true
+}
+
+func newRig(t testing.TB) *rig {
+	r := &rig{recorder: standin.NewRecorder()}
+	quick := standin.DefaultEngineSettings()
+	quick.DecodeStep, quick.DecodeStepPerRequest = time.Millisecond, 0
+	engines := listen(t, standin.NewEngine(quick, r.recorder))
+	services := listen(t, standin.NewService(standin.DefaultServiceSettings(), r.recorder))
+	f, err := declared.Parse([]byte(fmt.Sprintf(testFile, engines, services,
+		sha256.Sum256([]byte("key-one")), sha256.Sum256([]byte("key-two")))))
+	must.NoError(t, err)
+
+	const incarnation = 7
+	var inForce atomic.Pointer[declared.File]
+	client := endpoint.New(endpoint.Config{})
+	loop := control.New(reducer.New(reducer.Config{Incarnation: incarnation, Instance: "i0", AvailabilityZone: "a"}, reducer.Instant(boottime.Now())))
+	exchange := traffic.New(traffic.Config{Incarnation: incarnation, Client: client, Post: loop.Post, AnswerLimit: 1 << 20, KeptLimit: 1 << 20})
+	loop.Use(exchange, carryFile{&inForce})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = loop.Serve(ctx) }()
+	loop.Post(reducer.FileOffered{File: f})
+	loop.Post(reducer.InstancesListed{Instances: []reducer.Instance{{Name: "i0", AvailabilityZone: "a"}}})
+	loop.Post(reducer.EndpointReported{Endpoint: "e0", Report: reducer.EndpointReport{Started: 1}})
+	loop.Post(reducer.EndpointReported{Endpoint: "s0", Report: reducer.EndpointReport{Started: 1}})
+	loop.Post(reducer.Tick{})
+	for ready := false; !ready; time.Sleep(time.Millisecond) {
+		must.NoError(t, loop.Query(ctx, func(s *reducer.State) { ready = s.Status().Ready }))
+	}
+	reports := time.NewTicker(time.Second)
+	go func() {
+		for {
+			select {
+			case <-reports.C:
+				loop.Post(reducer.EndpointReported{Endpoint: "e0", Report: reducer.EndpointReport{Started: 1}})
+				loop.Post(reducer.EndpointReported{Endpoint: "s0", Report: reducer.EndpointReport{Started: 1}})
+			case <-done:
+				return
+			}
+		}
+	}()
+	limits := settings.Defaults().Limits
+	limits.BodyBytes = 64 << 10
+	r.handler = NewHandler(Config{
+		Instance: "i0", Incarnation: incarnation, Exchange: exchange, File: inForce.Load,
+		Minter: ticket.NewMinter(incarnation), Peer: func(uint64) http.RoundTripper { return nil },
+		Limits: limits, Log: logline.New(&r.log, "info"),
+		Refused: func(refusal.Reason) { r.refused.Add(1) },
+	})
+	server := httptest.NewServer(r.handler)
+	r.url = server.URL
+	t.Cleanup(func() {
+		server.Close()
+		reports.Stop()
+		cancel()
+		<-done
+		client.Close()
+	})
+	return r
+}
+
+func listen(t testing.TB, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+type header map[string]string
+
+func (r *rig) send(t testing.TB, method, path, key, body string, h header) (*http.Response, string) {
+	req, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
+	must.NoError(t, err)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for name, value := range h {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	return resp, string(text)
+}
+
+func refusalOf(t testing.TB, text string) refusal.Detail {
+	var b refusal.Body
+	must.NoError(t, json.Unmarshal([]byte(text), &b))
+	return b.Error
+}
+
+const question = `{"model": "chat", "max_tokens": 5, "stream": %v, "user": "u1", "messages": [{"role": "user", "content": "why?"}]}`
+
+func TestStreamedAnswerIsWhole(t *testing.T) {
+	r := newRig(t)
+	resp, text := r.send(t, http.MethodPost, chatPath, "key-one", fmt.Sprintf(question, true), nil)
+	must.EqOp(t, http.StatusOK, resp.StatusCode)
+	must.EqOp(t, "e0", resp.Header.Get(traffic.EndpointHeader))
+	must.EqOp(t, "i0", resp.Header.Get(HeaderInstance))
+	must.NotEq(t, "", resp.Header.Get(HeaderTicket))
+	must.True(t, strings.HasSuffix(text, "data: [DONE]\n\n"))
+	must.EqOp(t, 1, r.recorder.Dispatches("u1"))
+}
+
+func TestCollectedAnswerIsOneBody(t *testing.T) {
+	r := newRig(t)
+	resp, text := r.send(t, http.MethodPost, chatPath, "key-one", fmt.Sprintf(question, false), nil)
+	must.EqOp(t, http.StatusOK, resp.StatusCode)
+	var whole struct {
+		Choices []struct {
+			Message struct{ Content string }
+		}
+	}
+	must.NoError(t, json.Unmarshal([]byte(text), &whole))
+	must.SliceLen(t, 1, whole.Choices)
+	must.EqOp(t, 5, len(strings.Fields(whole.Choices[0].Message.Content)))
+}
+
+func TestRefusalsHaveOneForm(t *testing.T) {
+	r := newRig(t)
+	chat := fmt.Sprintf(question, true)
+	for _, c := range []struct {
+		name, method, path, key, body string
+		header                        header
+		reason                        refusal.Reason
+	}{
+		{"no key", "POST", chatPath, "", chat, nil, refusal.Unauthorised},
+		{"wrong key", "POST", chatPath, "key-three", chat, nil, refusal.Unauthorised},
+		{"not JSON", "POST", chatPath, "key-one", "{", nil, refusal.BadRequest},
+		{"no model", "POST", chatPath, "key-one", `{"messages": []}`, nil, refusal.BadRequest},
+		{"another model", "POST", chatPath, "key-one", strings.Replace(chat, `"chat"`, `"other"`, 1), nil, refusal.NoEndpoint},
+		{"no route", "GET", "/nowhere", "key-one", "", nil, refusal.NotFound},
+		{"a tier of others", "POST", chatPath, "key-two", chat, header{HeaderTier: "gold"}, refusal.TierNotAllowed},
+		{"a tier of nobody", "POST", chatPath, "key-one", chat, header{HeaderTier: "lead"}, refusal.TierNotAllowed},
+		{"a deadline in words", "POST", chatPath, "key-one", chat, header{HeaderDeadline: "soon"}, refusal.BadRequest},
+		{"a deadline in the past", "POST", chatPath, "key-one", chat, header{HeaderDeadline: "-1"}, refusal.BadRequest},
+		{"too large", "POST", chatPath, "key-one", strings.Repeat("x", 65<<10), nil, refusal.TooLarge},
+		{"not a ticket", "POST", "/bookings", "key-one", "{}", header{HeaderTicket: "T"}, refusal.TicketInvalid},
+		{"a ticket of nobody", "POST", "/bookings", "key-one", "{}", header{HeaderTicket: ticket.NewMinter(9).Mint(1, 1<<62)}, refusal.OutcomeUnknown},
+		{"a forged ticket", "POST", "/bookings", "key-one", "{}", header{HeaderTicket: ticket.NewMinter(7).Mint(1, 1<<62)}, refusal.TicketInvalid},
+		{"no ticket", "POST", "/bookings", "key-one", "{}", nil, refusal.TicketNeeded},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			resp, text := r.send(t, c.method, c.path, c.key, c.body, c.header)
+			d := refusalOf(t, text)
+			must.EqOp(t, c.reason, d.Reason)
+			kind, _ := refusal.Lookup(c.reason)
+			must.EqOp(t, kind.Status, resp.StatusCode)
+			must.EqOp(t, d.RetryAfterMS > 0, resp.Header.Get("Retry-After") != "")
+		})
+	}
+	must.SliceEmpty(t, r.recorder.Runs(""))
+}
+
+func TestBookingRunsOnce(t *testing.T) {
+	r := newRig(t)
+	body := `{"user": "b1", "chair": 7}`
+	_, text := r.send(t, http.MethodPost, "/bookings", "key-one", body, nil)
+	d := refusalOf(t, text)
+	must.EqOp(t, refusal.TicketNeeded, d.Reason)
+	must.True(t, d.NotRun)
+	with := header{HeaderTicket: d.Ticket}
+	var answers []string
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			_, text := r.send(t, http.MethodPost, "/bookings", "key-one", body, with)
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, text)
+		})
+	}
+	wg.Wait()
+	for _, a := range answers {
+		must.EqOp(t, answers[0], a)
+	}
+	must.EqOp(t, 1, r.recorder.Dispatches("b1"))
+	_, text = r.send(t, http.MethodPost, "/bookings", "key-one", `{"user": "b2"}`, with)
+	must.EqOp(t, refusal.TicketInvalid, refusalOf(t, text).Reason)
+	_, text = r.send(t, http.MethodPost, "/bookings", "key-two", body, header{HeaderTicket: d.Ticket, HeaderTier: "bronze"})
+	must.EqOp(t, refusal.TicketInvalid, refusalOf(t, text).Reason)
+	must.EqOp(t, 0, r.recorder.Dispatches("b2"))
+}
+
+func TestLogHoldsNoSecretsAndOneLineAnEvent(t *testing.T) {
+	r := newRig(t)
+	r.send(t, http.MethodPost, chatPath, "key-one", fmt.Sprintf(question, true), header{HeaderTier: "gold"})
+	r.send(t, "M", "/x%0Aevent=forged", "key-one", "secret prompt", header{HeaderTier: "a\tb"})
+	must.StrNotContains(t, r.log.String(), "key-one")
+	must.StrNotContains(t, r.log.String(), "why?")
+	must.StrNotContains(t, r.log.String(), "secret")
+	for _, line := range strings.Split(strings.TrimSpace(r.log.String()), "\n") {
+		must.StrContains(t, line, "event=request")
+	}
+}
+
+// FuzzRequest sends drawn requests: each gets a final answer, and what is
+// refused has the one form.
+func FuzzRequest(f *testing.F) {
+	f.Add("POST", chatPath, "gold", "1000", "", fmt.Sprintf(question, true))
+	f.Add("POST", "/bookings", "", "", "T", "{}")
+	f.Add("GET", "/bookings/..//", "bronze", "x", "", "")
+	f.Add("POST", chatPath, "", "", "", `{"model": 5, "messages": {}}`)
+	r := newRig(f)
+	f.Fuzz(func(t *testing.T, method, path, tier, deadline, ticket, body string) {
+		req, err := http.NewRequest(method, "http://caller"+path, strings.NewReader(body))
+		if err != nil {
+			return
+		}
+		req.Header.Set("Authorization", "Bearer key-one")
+		req.Header.Set(HeaderTier, tier)
+		req.Header.Set(HeaderDeadline, deadline)
+		req.Header.Set(HeaderTicket, ticket)
+		w := httptest.NewRecorder()
+		r.handler.ServeHTTP(w, req)
+		if w.Header().Get(traffic.EndpointHeader) == "" {
+			must.NotEq(t, "", string(refusalOf(t, w.Body.String()).Reason))
+		}
+	})
+}
