Endpoint: write an event back as it stands in a stream

Data that an engine split over several lines would fall apart if a caller's stream were given it behind one "data:". AppendEvent keeps it one event; the reader's table of cases reads back what it writes.

--- a/internal/endpoint/events.go
+++ b/internal/endpoint/events.go
@@ -169,3 +169,18 @@
 	line = line[:len(line)-1]
 	return bytes.TrimSuffix(line, []byte("\r"))
 }
+
+// AppendEvent appends an event with that data to dst as it stands in a
+// stream. Data of several lines stays one event.
+func AppendEvent(dst, data []byte) []byte {
+	for {
+		line, rest, more := bytes.Cut(data, []byte("\n"))
+		dst = append(dst, "data: "...)
+		dst = append(dst, line...)
+		dst = append(dst, '\n')
+		if !more {
+			return append(dst, '\n')
+		}
+		data = rest
+	}
+}
--- a/internal/endpoint/events_test.go
+++ b/internal/endpoint/events_test.go
@@ -53,6 +53,13 @@
 			must.Eq(t, test.events, events)
 			must.ErrorIs(t, err, test.err)
 			must.Eq(t, test.err == io.EOF, err == io.EOF)
+
+			var again []byte
+			for _, event := range events {
+				again = AppendEvent(again, []byte(event))
+			}
+			repeated, _ := readAll(string(again), test.limit)
+			must.Eq(t, events, repeated)
 		})
 	}
 }
