Take up the run of an instance that is gone

Cause: after an instance's death every re-send of a completion was answered with outcome_unknown, and its prefill was paid for nothing although the engine still held the stream. Ruled out: a second dispatch, which would break at most once; a name that others could guess, since the ticket's MAC cannot be checked by another instance: the run's name holds 128 bits of a digest over organisation and content. Change: a re-send whose minting instance cannot be asked is looked for at the zone's engines by name and its stream read from the beginning. The lease is looked at immediately before the first byte; streams resume without loss and keep events of several lines. Before: outcome_unknown. After: the whole answer, one run in the stand-in's record; other content or another organisation gets outcome_unknown. Conclusion: prefill survives its instance.

--- a/cmd/balsamd/daemon.go
+++ b/cmd/balsamd/daemon.go
@@ -108,14 +108,15 @@
 
 func (d *daemon) buildHandler() {
 	d.handler = caller.NewHandler(caller.Config{
-		Instance:    d.set.Instance,
-		Incarnation: d.incarnation,
-		Exchange:    d.exchange,
-		File:        d.file.Load,
-		Minter:      ticket.NewMinter(d.incarnation),
-		Peer:        d.peers.RoundTripper,
-		Limits:      d.set.Limits,
-		Log:         d.log.Named("caller"),
+		Instance:         d.set.Instance,
+		AvailabilityZone: d.set.AvailabilityZone,
+		Incarnation:      d.incarnation,
+		Exchange:         d.exchange,
+		File:             d.file.Load,
+		Minter:           ticket.NewMinter(d.incarnation),
+		Peer:             d.peers.RoundTripper,
+		Limits:           d.set.Limits,
+		Log:              d.log.Named("caller"),
 		Refused: func(r refusal.Reason) {
 			d.counters.Add(string(reducer.CounterRefusals), string(r), 1)
 		},
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -3,8 +3,10 @@
 package caller
 
 import (
-	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"io"
 	"net/http"
 	"strconv"
@@ -41,9 +43,10 @@
 
 // Config is what a Handler needs.
 type Config struct {
-	Instance    string
-	Incarnation uint64
-	Exchange    *traffic.Exchange
+	Instance         string
+	AvailabilityZone string
+	Incarnation      uint64
+	Exchange         *traffic.Exchange
 	// File returns the declared file in force, or nil.
 	File   func() *declared.File
 	Minter *ticket.Minter
@@ -184,7 +187,7 @@
 	}
 	k.request.Organisation = k.organisation.Name
 	k.request.Tier = tier
-	k.request.Fingerprint = fingerprint(k.organisation.Name, r.Method, r.URL.RequestURI(), body)
+	k.request.Fingerprint, k.call.Digest = identify(k.organisation.Name, r.Method, r.URL.RequestURI(), body)
 	if key := r.Header.Get(headerKey); key != "" {
 		k.request.CallerKey = xxhash.Sum64String(k.organisation.Name + "\x00" + key)
 	}
@@ -235,14 +238,17 @@
 	return to
 }
 
-func fingerprint(organisation, method, uri string, body []byte) uint64 {
-	d := xxhash.New()
+// identify digests a request's organisation and content: briefly for the
+// reducer, and as a part of its name to endpoints that cannot be forged.
+func identify(organisation, method, uri string, body []byte) (fingerprint uint64, digest string) {
+	d := sha256.New()
 	for _, p := range []string{organisation, method, uri} {
-		_, _ = d.WriteString(p)
+		_, _ = io.WriteString(d, p)
 		_, _ = d.Write([]byte{0})
 	}
 	_, _ = d.Write(body)
-	return d.Sum64()
+	sum := d.Sum(nil)
+	return binary.LittleEndian.Uint64(sum), hex.EncodeToString(sum[8:24])
 }
 
 // readTicket verifies a ticket of this incarnation; one of another incarnation
@@ -266,45 +272,6 @@
 	return ""
 }
 
-// forward sends a request to the incarnation that minted its ticket. Nobody
-// else can say whether it ran: where that one cannot be asked, the outcome is
-// unknown, and it is never run here.
-func (h *Handler) forward(w http.ResponseWriter, r *http.Request, k *work, started time.Time) {
-	t, _ := ticket.Parse(k.ticket)
-	peer := h.cfg.Peer(t.Incarnation)
-	if peer == nil || r.Header.Get(headerForwarded) != "" {
-		h.refuseHere(w, &refusedRequest{reason: refusal.OutcomeUnknown})
-		return
-	}
-	out := r.Clone(r.Context())
-	out.URL.Scheme, out.URL.Host = "http", "peer"
-	out.RequestURI = ""
-	out.Header.Set(headerForwarded, "1")
-	out.Header.Del(headerKey)
-	out.Body, out.ContentLength, out.GetBody = io.NopCloser(bytes.NewReader(k.body)), int64(len(k.body)), nil
-	resp, err := peer.RoundTrip(out)
-	if err != nil {
-		h.refuseHere(w, &refusedRequest{reason: refusal.OutcomeUnknown})
-		return
-	}
-	defer resp.Body.Close()
-	copyHead(w.Header(), resp.Header)
-	w.WriteHeader(resp.StatusCode)
-	if err := h.copyBody(w, resp.Body); err != nil {
-		h.cutForwarded(w, r, k, resp, started)
-	}
-}
-
-// cutForwarded ends an answer that broke on its way through a peer, so that
-// it cannot look whole.
-func (h *Handler) cutForwarded(w http.ResponseWriter, r *http.Request, k *work, resp *http.Response, started time.Time) {
-	if resp.Header.Get("Content-Type") == eventStream && r.Context().Err() == nil {
-		writeError(w, &refusedRequest{reason: refusal.AnswerCut, request: resp.Header.Get(HeaderRequest)})
-	}
-	h.log(r, k, resp.Header.Get(HeaderRequest), string(refusal.AnswerCut), started)
-	panic(http.ErrAbortHandler)
-}
-
 // log writes one line for each request; never a key, a prompt or an answer.
 func (h *Handler) log(r *http.Request, k *work, request, outcome string, started time.Time) {
 	organisation, pool, tier := "", "", ""
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -104,6 +104,7 @@
 // rig is one instance in process, with an engine and a service beside it.
 type rig struct {
 	url      string
+	engines  string
 	handler  *Handler
 	recorder *standin.Recorder
 	log      lockedBuffer
@@ -111,7 +112,9 @@
 }
 
 // carryFile keeps the file in force for the handler.
-type carryFile struct{ file *atomic.Pointer[declared.File] }
+type carryFile struct {
+	file *atomic.Pointer[declared.File]
+}
 
 func (c carryFile) Carry(e reducer.Effect) bool {
 	if f, ok := e.(reducer.FileAdopted); ok {
@@ -124,9 +127,9 @@
 	r := &rig{recorder: standin.NewRecorder()}
 	quick := standin.DefaultEngineSettings()
 	quick.DecodeStep, quick.DecodeStepPerRequest = time.Millisecond, 0
-	engines := listen(t, standin.NewEngine(quick, r.recorder))
+	r.engines = listen(t, standin.NewEngine(quick, r.recorder))
 	services := listen(t, standin.NewService(standin.DefaultServiceSettings(), r.recorder))
-	f, err := declared.Parse([]byte(fmt.Sprintf(testFile, engines, services,
+	f, err := declared.Parse([]byte(fmt.Sprintf(testFile, r.engines, services,
 		sha256.Sum256([]byte("key-one")), sha256.Sum256([]byte("key-two")))))
 	must.NoError(t, err)
 
@@ -162,7 +165,7 @@
 	limits := settings.Defaults().Limits
 	limits.BodyBytes = 64 << 10
 	r.handler = NewHandler(Config{
-		Instance: "i0", Incarnation: incarnation, Exchange: exchange, File: inForce.Load,
+		Instance: "i0", AvailabilityZone: "a", Incarnation: incarnation, Exchange: exchange, File: inForce.Load,
 		Minter: ticket.NewMinter(incarnation), Peer: func(uint64) http.RoundTripper { return nil },
 		Limits: limits, Log: logline.New(&r.log, "info"),
 		Refused: func(refusal.Reason) { r.refused.Add(1) },
@@ -304,6 +307,32 @@
 	must.EqOp(t, 0, r.recorder.Dispatches("b2"))
 }
 
+// TestRunOfAnotherInstanceIsTakenUp starts a run as an instance that is gone
+// would have, and sends it again here.
+func TestRunOfAnotherInstanceIsTakenUp(t *testing.T) {
+	r := newRig(t)
+	body := fmt.Sprintf(question, true)
+	_, digest := identify("one", http.MethodPost, chatPath, []byte(body))
+	gone := ticket.NewMinter(9)
+	first, err := http.NewRequest(http.MethodPost, "http://"+r.engines+chatPath, strings.NewReader(body))
+	must.NoError(t, err)
+	first.Header.Set("X-Request-Id", traffic.WireID(9, 1, digest))
+	resp, err := http.DefaultTransport.RoundTrip(first)
+	must.NoError(t, err)
+	answer, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+
+	with := header{HeaderTicket: gone.Mint(1, 1<<62)}
+	_, text := r.send(t, http.MethodPost, chatPath, "key-one", body, with)
+	must.EqOp(t, string(answer), text)
+	_, text = r.send(t, http.MethodPost, chatPath, "key-one", strings.Replace(body, "why?", "how?", 1), with)
+	must.EqOp(t, refusal.OutcomeUnknown, refusalOf(t, text).Reason)
+	_, text = r.send(t, http.MethodPost, chatPath, "key-two", body, with)
+	must.EqOp(t, refusal.OutcomeUnknown, refusalOf(t, text).Reason)
+	must.EqOp(t, 1, r.recorder.Dispatches("u1"))
+}
+
 func TestLogHoldsNoSecretsAndOneLineAnEvent(t *testing.T) {
 	r := newRig(t)
 	r.send(t, http.MethodPost, chatPath, "key-one", fmt.Sprintf(question, true), header{HeaderTier: "gold"})
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -29,6 +29,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Digest is a part of the request's name to endpoints: a cryptographic
+	// digest of organisation and content.
+	Digest string
 	// Engine says that the answer is an event stream that can be resumed.
 	Engine bool
 	// UsageOf reads the usage from one event of an engine's answer; ok is
--- a/internal/traffic/run.go
+++ b/internal/traffic/run.go
@@ -34,9 +34,14 @@
 	return &run{id: id, exchange: x, call: call, journal: newJournal(x.cfg.AnswerLimit)}
 }
 
-// wireID names the request to endpoints: unique over all incarnations.
 func (r *run) wireID() string {
-	return fmt.Sprintf("%016x-%x", uint64(r.exchange.cfg.Incarnation), uint64(r.id))
+	return WireID(r.exchange.cfg.Incarnation, r.id, r.call.Digest)
+}
+
+// WireID names a request to endpoints: unique over all incarnations, and only
+// to be named by who knows the request's organisation and content.
+func WireID(incarnation reducer.Incarnation, id reducer.RequestID, digest string) string {
+	return fmt.Sprintf("%016x-%x-%s", uint64(incarnation), uint64(id), digest)
 }
 
 // connect obtains a connection and writes nothing on it.
@@ -100,15 +105,15 @@
 	r.cancel, r.endpoint = cancel, e.Endpoint
 	r.mu.Unlock()
 	conn := r.takeConn()
-	if conn == nil || boottime.Now() >= int64(e.NotAfter) {
-		if conn != nil {
-			conn.Close()
-		}
+	if conn == nil {
 		r.done(reducer.Result{Ended: reducer.EndedNotSent})
 		return
 	}
 	answer, err := conn.Send(ctx, endpoint.Call{
 		Method: r.call.Method, Path: r.call.Path, Header: r.call.Header, Body: r.call.Body, ID: r.wireID(),
+		// The lease is looked at immediately before the first byte leaves: this
+		// process may have been paused on the way here.
+		Guard: func() bool { return boottime.Now() < int64(e.NotAfter) },
 	})
 	if err != nil {
 		r.done(r.sendFailed(err, started))
@@ -190,61 +195,49 @@
 	r.journal.begin(a.Status, header)
 }
 
-// resumeTries bounds how often one run's stream is resumed.
-const resumeTries = 3
-
 // recordEvents copies an event stream; a cut one is resumed at the endpoint,
 // which is not a dispatch.
 func (r *run) recordEvents(ctx context.Context, a *endpoint.Answer, started time.Time) reducer.Result {
 	r.begin(a)
+	stream := r.exchange.cfg.Client.Stream(r.address, r.wireID(), a)
+	defer stream.Close()
 	res := reducer.Result{}
-	events := 0
-	for try := 0; ; try++ {
-		err := r.copyEvents(a, &events, &res, started)
-		if err == nil {
-			return r.ended(a.Status, res)
-		}
-		if try >= resumeTries || ctx.Err() != nil {
-			break
-		}
-		a, err = r.exchange.cfg.Client.Resume(ctx, r.address, r.wireID(), events)
-		if err != nil {
-			break
-		}
+	err := r.call.copyEvents(ctx, stream, r.journal.write, func(u Usage) {
+		res.PromptTokens, res.CachedTokens, res.OutputTokens = u.PromptTokens, u.CachedTokens, u.OutputTokens
+	}, func() { res.FirstToken = time.Since(started) })
+	if err == nil {
+		return r.ended(a.Status, res)
 	}
 	res.Ended = r.brokenOrCancelled()
 	return res
 }
 
-var (
-	dataPrefix = []byte("data: ")
-	eventEnd   = []byte("\n\n")
-)
+// streamEnd is the last event of a whole stream.
+var streamEnd = []byte("data: [DONE]\n\n")
 
-func (r *run) copyEvents(a *endpoint.Answer, events *int, res *reducer.Result, started time.Time) error {
-	reader := r.exchange.cfg.Client.Events(a)
-	defer reader.Close()
+// copyEvents writes each event as it comes, and the stream's end only if the
+// stream is whole.
+func (c *Call) copyEvents(ctx context.Context, from *endpoint.Stream, write func([]byte), used func(Usage), first func()) error {
 	var line []byte
 	for {
-		event, err := reader.Next()
+		event, err := from.Next(ctx)
 		if err == io.EOF {
-			r.journal.write([]byte("data: [DONE]\n\n"))
+			write(streamEnd)
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		if *events == 0 {
-			res.FirstToken = time.Since(started)
+		if from.Offset() == 1 {
+			first()
 		}
-		*events++
-		if u, alone, ok := r.call.UsageOf(event); ok {
-			res.PromptTokens, res.CachedTokens, res.OutputTokens = u.PromptTokens, u.CachedTokens, u.OutputTokens
-			if alone && r.call.HideUsage {
+		if u, alone, ok := c.UsageOf(event); ok {
+			used(u)
+			if alone && c.HideUsage {
 				continue
 			}
 		}
-		line = append(append(append(line[:0], dataPrefix...), event...), eventEnd...)
-		r.journal.write(line)
+		line = endpoint.AppendEvent(line[:0], event)
+		write(line)
 	}
 }
