--- a/e2e/check_test.go
+++ b/e2e/check_test.go
@@ -21,6 +21,7 @@
 	configuration  violationKind = "configuration"
 	leavingWork    violationKind = "work on a leaving endpoint"
 	unexpectedEnd  violationKind = "unexpected end of a process"
+	notHealed      violationKind = "not healed"
 )
 
 // violation is one broken promise.
@@ -38,16 +39,6 @@
 	v.violations = append(v.violations, violation{k, fmt.Sprintf(format, args...)})
 }
 
-func (v *verdict) count(k violationKind) int {
-	n := 0
-	for _, x := range v.violations {
-		if x.kind == k {
-			n++
-		}
-	}
-	return n
-}
-
 func (v *verdict) String() string {
 	var b strings.Builder
 	for _, x := range v.violations {
@@ -305,3 +296,68 @@
 	}
 	return time.Since(begin)
 }
+
+// checkServes waits until each instance answers, after healing, a chat and a
+// booking whole, and returns how long that took.
+func checkServes(v *verdict, c *schedule) time.Duration {
+	begin := time.Now()
+	for _, in := range c.instances {
+		for _, k := range []kind{streamedChat, booking} {
+			if !c.served(in, k) {
+				v.add(notHealed, "%s gives no whole answer to a %s request %s after healing", in.name, k, liveness)
+			}
+		}
+	}
+	return time.Since(begin)
+}
+
+// served sends new requests until one is answered whole.
+func (c *schedule) served(in *instance, k kind) bool {
+	for end := time.Now().Add(liveness); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		a := c.ask(k, "gold", 2)
+		if k == booking {
+			without := a
+			without.marker += "-without"
+			if a.ticket = c.load.send(in, without, nil).ticketGiven; a.ticket == "" {
+				continue
+			}
+		}
+		if c.load.send(in, a, nil).whole {
+			return true
+		}
+	}
+	return false
+}
+
+// checkIdle waits until nothing is held any more and every slot is free: what
+// an instance forgot or a lost message left behind would stay.
+func checkIdle(v *verdict, s *site) {
+	for _, in := range s.instances {
+		var left string
+		for end := time.Now().Add(liveness); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			if left = in.left(); left == "" {
+				break
+			}
+		}
+		if left != "" {
+			v.add(notHealed, "%s after the load has ended: %s", in.name, left)
+		}
+	}
+}
+
+// left names what an instance still holds.
+func (in *instance) left() string {
+	st, err := in.status()
+	if err != nil {
+		return err.Error()
+	}
+	if st.Held+st.Waiting > 0 {
+		return fmt.Sprintf("%d requests are held, %d wait", st.Held, st.Waiting)
+	}
+	for _, e := range st.Endpoints {
+		if e.Owned && e.Granted > 0 {
+			return fmt.Sprintf("%d slots of %s are not given back", e.Granted, e.Name)
+		}
+	}
+	return ""
+}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -18,6 +18,7 @@
 // faults are all kinds. Each ends what it began, but for what heal ends.
 var faults = []fault{
 	{"kill", (*schedule).faultKill},
+	{"kill of all", (*schedule).faultKillAll},
 	{"pause", (*schedule).faultPause},
 	{"cut of two", (*schedule).faultCutTwo},
 	{"cut of one from all", (*schedule).faultIsolate},
@@ -135,6 +136,30 @@
 	})
 }
 
+// faultKillAll ends all processes at once and starts others.
+func (c *schedule) faultKillAll(*rand.Rand) {
+	var taken []*instance
+	for i, in := range c.instances {
+		if c.busy[i].TryLock() {
+			defer c.busy[i].Unlock()
+			taken = append(taken, in)
+		}
+	}
+	c.disturb(func() {
+		c.note("kill %d instances at once", len(taken))
+		for _, in := range taken {
+			in.kill()
+		}
+		for _, in := range taken {
+			c.mark("start", in)
+			in.start()
+		}
+		for _, in := range taken {
+			in.waitReady()
+		}
+	})
+}
+
 func (c *schedule) faultPause(r *rand.Rand) {
 	in, done := c.take(r)
 	if in == nil {
--- a/e2e/instance_test.go
+++ b/e2e/instance_test.go
@@ -39,9 +39,8 @@
 	links    map[int]*relay
 	view     view
 
-	mu    sync.Mutex
-	runs  []*process
-	fixed bool
+	mu   sync.Mutex
+	runs []*process
 }
 
 // process is one run of a daemon.
@@ -89,11 +88,13 @@
 	}
 	cmd := exec.Command(path, "-settings", in.settings, "-log-level", "info")
 	cmd.Env = append(os.Environ(), "BALSAM_GUARDS_OFF="+in.site.cfg.guardsOff)
-	out, in2, err := os.Pipe()
+	// Also where the test is ended from outside, no process is left.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, write, err := os.Pipe()
 	must.NoError(in.site.t, err)
-	cmd.Stdout, cmd.Stderr = in2, in2
+	cmd.Stdout, cmd.Stderr = write, write
 	must.NoError(in.site.t, cmd.Start())
-	_ = in2.Close()
+	_ = write.Close()
 	p := &process{cmd: cmd, started: time.Now(), exited: make(chan struct{})}
 	go p.collect(out)
 	in.mu.Lock()
--- a/e2e/promises_test.go
+++ b/e2e/promises_test.go
@@ -133,10 +133,12 @@
 
 // status is what the operator interface says of an instance.
 func (in *instance) status() (st struct {
-	Revision  uint64 `json:"revision"`
+	Held      int `json:"held_requests"`
+	Waiting   int `json:"waiting_requests"`
 	Endpoints []struct {
-		Name  string `json:"name"`
-		Owned bool   `json:"owned"`
+		Name    string `json:"name"`
+		Owned   bool   `json:"owned"`
+		Granted int    `json:"granted"`
 	} `json:"endpoints"`
 }, err error) {
 	resp, err := http.Get("http://" + in.operator + "/status")
--- a/e2e/schedule_test.go
+++ b/e2e/schedule_test.go
@@ -65,10 +65,14 @@
 	c.note("healed")
 	time.Sleep(1500 * time.Millisecond)
 	c.load.end()
-	o := &outcome{seed: seed, drawn: c.drawn, attempts: c.load.all(), times: map[string][]time.Duration{}}
-	v := check(c, o.attempts)
+	o := &outcome{seed: seed, drawn: c.drawn, times: map[string][]time.Duration{}, verdict: &verdict{}}
+	v := o.verdict
 	o.times["configuration in force everywhere, after healing"] = []time.Duration{checkInForce(v, s)}
-	o.verdict, o.runs = v, len(posts(s.recorder.Runs("")))
+	o.times["each instance serves each pool, after healing"] = []time.Duration{checkServes(v, c)}
+	checkIdle(v, s)
+	o.attempts = c.load.all()
+	v.violations = append(v.violations, check(c, o.attempts).violations...)
+	o.runs = len(posts(s.recorder.Runs("")))
 	c.measure(o.times)
 	c.report(t, o)
 	return o
@@ -225,7 +229,7 @@
 	}
 	fmt.Fprintf(&b, "schedules %d, with violations %d\n", len(all), bad)
 	fmt.Fprintf(&b, "requests sent %d, dispatched %d, whole answers %d, outcome not known %d\n", attempts, runs, whole, unknown)
-	for _, k := range []violationKind{doubled, lost, falselyRefused, wrongAnswer, configuration, leavingWork, unexpectedEnd} {
+	for _, k := range []violationKind{doubled, lost, falselyRefused, wrongAnswer, configuration, leavingWork, unexpectedEnd, notHealed} {
 		fmt.Fprintf(&b, "%s %d\n", k, kinds[k])
 	}
 	fmt.Fprintf(&b, "faults: %s\nwithout a whole answer: %s\n", counted(drawn), counted(refusals))
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -31,6 +31,8 @@
 	callMicros  int64
 	decodeStep  time.Duration
 	serviceMS   int64
+	// relayEndpoints counts the bytes to and from endpoints.
+	relayEndpoints bool
 }
 
 // zoneName names the availability zone of an index.
@@ -42,6 +44,7 @@
 	engine  *standin.Engine
 	service *standin.Service
 	server  *standin.Server
+	link    *relay
 }
 
 // site is a set of real daemons between stand-ins. Each instance sees the
@@ -59,7 +62,6 @@
 
 	mu       sync.Mutex
 	revision uint64
-	variant  int
 	// published is the newest file that any platform view was given.
 	published published
 }
@@ -138,6 +140,10 @@
 
 func (s *site) addBackEnd(b *backEnd) {
 	b.address = b.server.Address()
+	if s.cfg.relayEndpoints {
+		b.link = s.relay(b.address)
+		b.address = b.link.address()
+	}
 	s.backEnds = append(s.backEnds, b)
 }
 
@@ -316,6 +322,9 @@
 		in.view.server.Close()
 	}
 	for _, b := range s.backEnds {
+		if b.link != nil {
+			b.link.close()
+		}
 		b.server.Close()
 		if b.engine != nil {
 			b.engine.Close()
