--- a/e2e/check_test.go
+++ b/e2e/check_test.go
@@ -219,7 +219,7 @@
 	grantMargin = 500 * time.Millisecond
 	// disturbance is how long after a cut, a pause or a death instances may
 	// judge without each other.
-	disturbance = 12 * time.Second
+	disturbance = 6 * time.Second
 )
 
 func shedReason(r refusal.Reason) bool {
--- a/e2e/promises_test.go
+++ b/e2e/promises_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -368,6 +369,7 @@
 	{"an answer in one piece whose engine crashes is refused", "", siteConfig{zones: []int{1}, engines: 1, services: 1, slots: 4, decodeStep: 40 * time.Millisecond}, wholeChatBreaks},
 	{"a zone that is cut off goes on", "", siteConfig{zones: []int{2, 2}, engines: 1, services: 1, slots: 4}, zoneAlone},
 	{"racing operators end with one file", "", small(3), racingOperators},
+	{"a restarted instance is not ready with a file older than its peers'", "", small(3), staleRestart},
 }
 
 // TestScenarios runs the scenarios without a guard.
@@ -528,3 +530,32 @@
 		}
 	}
 }
+
+// staleRestart restarts an instance whose view of the platform is stale. Its
+// peers have a newer file in force, so that it must have that by the time at
+// which it asks for callers.
+func staleRestart(c *schedule, v *verdict) {
+	in := c.instances[0]
+	in.view.platform.SetFaults(standin.PlatformFaults{Stale: true})
+	c.publish(c.next())
+	newest := c.newest()
+	must.True(c.t, in.waitFile(newest))
+	for range 5 {
+		in.kill()
+		p := in.start()
+		in.waitReady()
+		inForce := uint64(0)
+		for _, l := range p.log() {
+			if strings.Contains(l.text, "event=ready ready=true") {
+				break
+			}
+			if strings.Contains(l.text, "event=file_adopted") {
+				inForce, _ = strconv.ParseUint(l.field("revision"), 10, 64)
+			}
+		}
+		if inForce < newest.revision {
+			v.add(configuration, "%s was ready with revision %d in force, its peers had %d:\n%s", in.name, inForce, newest.revision, in.dump())
+			return
+		}
+	}
+}
