--- a/cmd/balsam-standin/main.go
+++ b/cmd/balsam-standin/main.go
@@ -36,7 +36,7 @@
 
 // run starts every stand-in and serves until ctx ends.
 func run(ctx context.Context, o *options, log hclog.Logger) error {
-	stands, err := plan(o, standin.NewRecorder())
+	stands, err := plan(o, standin.NewRecorderKeeping(o.bodyBytes))
 	if err != nil {
 		return err
 	}
--- a/cmd/balsam-standin/options.go
+++ b/cmd/balsam-standin/options.go
@@ -25,6 +25,7 @@
 	engines      addresses
 	services     addresses
 	models       string
+	bodyBytes    int
 	engine       standin.EngineSettings
 	service      standin.ServiceSettings
 }
@@ -69,6 +70,7 @@
 	flags.StringVar(&o.instances, "instances", "", "publish the JSON `file` as the instance list")
 	flags.StringVar(&o.fromDeclared, "from-declared", "", "serve each endpoint of the declared `file` at its address")
 	flags.StringVar(&o.control, "control", "", "serve the record of all stand-ins at `address`")
+	flags.IntVar(&o.bodyBytes, "record-body-bytes", standin.DefaultBodyKeptBytes, "how much of each body the record keeps")
 	flags.Var(&o.engines, "engine", "serve an engine at `address`; may be repeated")
 	flags.Var(&o.services, "service", "serve a plain service at `address`; may be repeated")
 	o.registerEngine(flags)
--- /dev/null
+++ b/internal/load/audit.go
@@ -0,0 +1,86 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/balsamstair/balsamstair/internal/standin"
+)
+
+// Audit compares what callers were told with what endpoints saw. Each list
+// has user markers.
+type Audit struct {
+	// Dispatches counts the requests of the load that endpoints saw.
+	Dispatches int `json:"dispatches"`
+	// Twice were dispatched more than once.
+	Twice []string `json:"twice"`
+	// RanThough were said not to have run, and a dispatch was seen.
+	RanThough []string `json:"ran_though"`
+	// Unseen were answered whole, and no dispatch was seen.
+	Unseen []string `json:"unseen"`
+	// PromptTokens, CachedTokens and WastedTokens are prefill work; wasted is
+	// what was paid for requests that no caller got a whole answer to.
+	PromptTokens int `json:"prompt_tokens"`
+	CachedTokens int `json:"cached_tokens"`
+	WastedTokens int `json:"wasted_tokens"`
+}
+
+// Broken says that something happened that must never happen.
+func (a *Audit) Broken() bool { return len(a.Twice)+len(a.RanThough)+len(a.Unseen) > 0 }
+
+// Check compares a report with the endpoints' record.
+func Check(r *Report, runs []standin.Run) *Audit {
+	a := &Audit{}
+	byUser := make(map[string][]standin.Run)
+	for _, run := range runs {
+		byUser[run.User] = append(byUser[run.User], run)
+	}
+	for _, o := range r.Outcomes {
+		a.check(&o, byUser[o.User])
+	}
+	return a
+}
+
+func (a *Audit) check(o *Outcome, runs []standin.Run) {
+	a.Dispatches += len(runs)
+	if len(runs) > 1 {
+		a.Twice = append(a.Twice, o.User)
+	}
+	if o.Ended == EndedRefused && o.NotRun && len(runs) > 0 {
+		a.RanThough = append(a.RanThough, o.User)
+	}
+	if o.Ended == EndedWhole && len(runs) == 0 {
+		a.Unseen = append(a.Unseen, o.User)
+	}
+	for _, run := range runs {
+		a.PromptTokens += run.PromptTokens
+		a.CachedTokens += run.CachedTokens
+		if o.Ended != EndedWhole {
+			a.WastedTokens += run.PromptTokens - run.CachedTokens
+		}
+	}
+}
+
+// FetchRuns reads the record of all stand-ins at an address.
+func FetchRuns(ctx context.Context, address string) ([]standin.Run, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/standin/runs?all=1", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Newf("status %d", response.StatusCode)
+	}
+	var runs []standin.Run
+	if err := json.NewDecoder(response.Body).Decode(&runs); err != nil {
+		return nil, errors.Wrap(err, "record of runs")
+	}
+	return runs, nil
+}
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// bodyKeptBytes is how much of a body a Run keeps as text.
-const bodyKeptBytes = 4 << 10
+// DefaultBodyKeptBytes is how much of a body a Run keeps as text.
+const DefaultBodyKeptBytes = 4 << 10
 
 // RunState says how far a recorded request came.
 type RunState string
@@ -87,12 +87,18 @@
 // for concurrent use. It is the test's record: a crash of a stand-in does not
 // clear it.
 type Recorder struct {
+	bodyKeptBytes int
+
 	mu   sync.Mutex
 	runs []*Run
 }
 
 // NewRecorder returns an empty Recorder.
-func NewRecorder() *Recorder { return &Recorder{} }
+func NewRecorder() *Recorder { return NewRecorderKeeping(DefaultBodyKeptBytes) }
+
+// NewRecorderKeeping returns an empty Recorder that keeps so many bytes of
+// each body; a long load wants few.
+func NewRecorderKeeping(bodyBytes int) *Recorder { return &Recorder{bodyKeptBytes: bodyBytes} }
 
 // Runs returns a copy of the record in the order of arrival; an endpoint name
 // limits it to that endpoint.
@@ -144,7 +150,7 @@
 // setBody records as much of the body as was read.
 func (r *Recorder) setBody(run *Run, body []byte, whole bool) {
 	sum := sha256.Sum256(body)
-	kept := string(slices.Clone(body[:min(len(body), bodyKeptBytes)]))
+	kept := string(slices.Clone(body[:min(len(body), r.bodyKeptBytes)]))
 	r.update(run, func(run *Run) {
 		run.Body = kept
 		run.BodyBytes = len(body)
