--- a/cmd/balsamd/daemon.go
+++ b/cmd/balsamd/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/balsamstair/balsamstair/internal/traffic"
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
+	"golang.org/x/net/netutil"
 )
 
 // peerProtocol is the number of the protocol between instances.
@@ -63,6 +64,7 @@
 		Client:      d.endpoints,
 		Post:        d.loop.Post,
 		AnswerLimit: answerLimit,
+		KeptLimit:   set.Limits.KeptAnswerBytes,
 	})
 	if err := d.buildPeers(); err != nil {
 		return nil, err
@@ -106,14 +108,15 @@
 
 func (d *daemon) buildHandler() {
 	d.handler = caller.NewHandler(caller.Config{
-		Instance:    d.set.Instance,
-		Incarnation: d.incarnation,
-		Exchange:    d.exchange,
-		File:        d.file.Load,
-		Minter:      ticket.NewMinter(d.incarnation),
-		Peer:        d.peers.RoundTripper,
-		Limits:      d.set.Limits,
-		Log:         d.log.Named("caller"),
+		Instance:         d.set.Instance,
+		AvailabilityZone: d.set.AvailabilityZone,
+		Incarnation:      d.incarnation,
+		Exchange:         d.exchange,
+		File:             d.file.Load,
+		Minter:           ticket.NewMinter(d.incarnation),
+		Peer:             d.peers.RoundTripper,
+		Limits:           d.set.Limits,
+		Log:              d.log.Named("caller"),
 		Refused: func(r refusal.Reason) {
 			d.counters.Add(string(reducer.CounterRefusals), string(r), 1)
 		},
@@ -157,10 +160,14 @@
 }
 
 // stop is the graceful shutdown: the reducer says when nothing is held any
-// more; then the last answers are written out.
+// more; then the last answers are written out. For leaveTime at least, who
+// still comes gets a refusal: a closed listener would drop connections that
+// are just being made.
 func (d *daemon) stop(servers ...*http.Server) {
 	d.loop.Post(reducer.StopRequested{})
+	noticed := time.After(leaveTime)
 	<-d.loop.Stopped()
+	<-noticed
 	ctx, cancel := context.WithTimeout(context.Background(), lastWrites)
 	defer cancel()
 	for _, s := range servers {
@@ -170,6 +177,10 @@
 	}
 }
 
+// leaveTime is how long the platform's balancer may take to see that the
+// instance is not ready any more.
+const leaveTime = 2 * time.Second
+
 // lastWrites bounds how long slow callers may take to read answers that are
 // complete.
 const lastWrites = 10 * time.Second
@@ -199,6 +210,9 @@
 	if err != nil {
 		return nil, err
 	}
+	// Callers beyond the limit wait to be accepted: nobody is refused out of
+	// the order of the tiers.
+	l = netutil.LimitListener(l, d.set.Limits.ConcurrentRequests)
 	t := d.set.TLS
 	if t.CallerCertificateFile == "" {
 		return l, nil
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -3,8 +3,10 @@
 package caller
 
 import (
-	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"io"
 	"net/http"
 	"strconv"
@@ -19,6 +21,7 @@
 	"github.com/balsamstair/balsamstair/internal/ticket"
 	"github.com/balsamstair/balsamstair/internal/traffic"
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/semaphore"
 )
 
 // Headers of the caller interface; docs/CALLERS.md describes them.
@@ -40,9 +43,10 @@
 
 // Config is what a Handler needs.
 type Config struct {
-	Instance    string
-	Incarnation uint64
-	Exchange    *traffic.Exchange
+	Instance         string
+	AvailabilityZone string
+	Incarnation      uint64
+	Exchange         *traffic.Exchange
 	// File returns the declared file in force, or nil.
 	File   func() *declared.File
 	Minter *ticket.Minter
@@ -55,10 +59,16 @@
 }
 
 // Handler serves callers, and peers that forward callers.
-type Handler struct{ cfg Config }
+type Handler struct {
+	cfg Config
+	// bodies bounds the bytes of all requests that are held together.
+	bodies *semaphore.Weighted
+}
 
 // NewHandler returns a Handler.
-func NewHandler(cfg Config) *Handler { return &Handler{cfg: cfg} }
+func NewHandler(cfg Config) *Handler {
+	return &Handler{cfg: cfg, bodies: semaphore.NewWeighted(cfg.Limits.BodiesBytes)}
+}
 
 // work is one authenticated request with its body.
 type work struct {
@@ -66,6 +76,8 @@
 	organisation *declared.Organisation
 	call         *traffic.Call
 	request      reducer.Request
+	// reserved is the room that the body takes among all bodies.
+	reserved int64
 	// body is what the caller sent, for forwarding.
 	body   []byte
 	stream bool
@@ -78,13 +90,16 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	k, reason := h.read(w, r)
+	defer func() { h.bodies.Release(k.reserved) }()
 	if reason != "" {
-		h.refuseHere(w, &refusedRequest{reason: reason, detail: k.problem})
+		// A ticket that is no ticket stands for nothing that could have run.
+		resent := r.Header.Get(HeaderTicket) != "" && reason != refusal.TicketInvalid
+		h.refuseHere(w, &refusedRequest{reason: reason, detail: k.problem, resent: resent})
 		h.log(r, k, "", string(reason), started)
 		return
 	}
 	if k.ticket != "" && k.request.Ticket.Request == 0 {
-		h.forward(w, r, k)
+		h.forward(w, r, k, started)
 		h.log(r, k, "", "forwarded", started)
 		return
 	}
@@ -104,7 +119,7 @@
 	if k.organisation, ok = h.authenticate(k.file, r); !ok {
 		return k, refusal.Unauthorised
 	}
-	body, reason := h.readBody(w, r)
+	body, reason := h.readBody(k, w, r)
 	if reason != "" {
 		return k, reason
 	}
@@ -123,7 +138,21 @@
 	return f.OrganisationByKey(key)
 }
 
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, refusal.Reason) {
+// readBody waits for room among the bodies that are held, then reads. A caller
+// that has to wait for room is not refused: which request gives way is for the
+// tiers to decide, and they cannot yet.
+func (h *Handler) readBody(k *work, w http.ResponseWriter, r *http.Request) ([]byte, refusal.Reason) {
+	room := h.cfg.Limits.BodyBytes
+	if r.ContentLength > room {
+		return nil, refusal.TooLarge
+	}
+	if r.ContentLength >= 0 {
+		room = r.ContentLength
+	}
+	if h.bodies.Acquire(r.Context(), room) != nil {
+		return nil, refusal.CallerGone
+	}
+	k.reserved = room
 	rc := http.NewResponseController(w)
 	// A writer without deadlines, as over a peer's session, has its own limits.
 	_ = rc.SetReadDeadline(time.Now().Add(h.cfg.Limits.IdleTimeout()))
@@ -158,7 +187,7 @@
 	}
 	k.request.Organisation = k.organisation.Name
 	k.request.Tier = tier
-	k.request.Fingerprint = fingerprint(k.organisation.Name, r.Method, r.URL.RequestURI(), body)
+	k.request.Fingerprint, k.call.Digest = identify(k.organisation.Name, r.Method, r.URL.RequestURI(), body)
 	if key := r.Header.Get(headerKey); key != "" {
 		k.request.CallerKey = xxhash.Sum64String(k.organisation.Name + "\x00" + key)
 	}
@@ -209,14 +238,17 @@
 	return to
 }
 
-func fingerprint(organisation, method, uri string, body []byte) uint64 {
-	d := xxhash.New()
+// identify digests a request's organisation and content: briefly for the
+// reducer, and as a part of its name to endpoints that cannot be forged.
+func identify(organisation, method, uri string, body []byte) (fingerprint uint64, digest string) {
+	d := sha256.New()
 	for _, p := range []string{organisation, method, uri} {
-		_, _ = d.WriteString(p)
+		_, _ = io.WriteString(d, p)
 		_, _ = d.Write([]byte{0})
 	}
 	_, _ = d.Write(body)
-	return d.Sum64()
+	sum := d.Sum(nil)
+	return binary.LittleEndian.Uint64(sum), hex.EncodeToString(sum[8:24])
 }
 
 // readTicket verifies a ticket of this incarnation; one of another incarnation
@@ -240,33 +272,6 @@
 	return ""
 }
 
-// forward sends a request to the incarnation that minted its ticket. Nobody
-// else can say whether it ran: where that one cannot be asked, the outcome is
-// unknown, and it is never run here.
-func (h *Handler) forward(w http.ResponseWriter, r *http.Request, k *work) {
-	t, _ := ticket.Parse(k.ticket)
-	peer := h.cfg.Peer(t.Incarnation)
-	if peer == nil || r.Header.Get(headerForwarded) != "" {
-		h.refuseHere(w, &refusedRequest{reason: refusal.OutcomeUnknown})
-		return
-	}
-	out := r.Clone(r.Context())
-	out.URL.Scheme, out.URL.Host = "http", "peer"
-	out.RequestURI = ""
-	out.Header.Set(headerForwarded, "1")
-	out.Header.Del(headerKey)
-	out.Body, out.ContentLength, out.GetBody = io.NopCloser(bytes.NewReader(k.body)), int64(len(k.body)), nil
-	resp, err := peer.RoundTrip(out)
-	if err != nil {
-		h.refuseHere(w, &refusedRequest{reason: refusal.OutcomeUnknown})
-		return
-	}
-	defer resp.Body.Close()
-	copyHead(w.Header(), resp.Header)
-	w.WriteHeader(resp.StatusCode)
-	h.copyBody(w, resp.Body)
-}
-
 // log writes one line for each request; never a key, a prompt or an answer.
 func (h *Handler) log(r *http.Request, k *work, request, outcome string, started time.Time) {
 	organisation, pool, tier := "", "", ""
--- a/internal/endpoint/events_test.go
+++ b/internal/endpoint/events_test.go
@@ -53,6 +53,13 @@
 			must.Eq(t, test.events, events)
 			must.ErrorIs(t, err, test.err)
 			must.Eq(t, test.err == io.EOF, err == io.EOF)
+
+			var again []byte
+			for _, event := range events {
+				again = AppendEvent(again, []byte(event))
+			}
+			repeated, _ := readAll(string(again), test.limit)
+			must.Eq(t, events, repeated)
 		})
 	}
 }
@@ -116,9 +123,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	endpoint := newRawEndpoint(t, func(e exchange) bool {
 		from, _ := strconv.Atoi(e.request.URL.Query().Get("offset"))
-		if from > 0 && e.request.URL.Path != "/v1/requests/r%2F1/stream" && e.request.URL.Path != "/v1/requests/r/1/stream" {
-			return false
-		}
+		must.True(t, from == 0 || e.request.URL.EscapedPath() == "/v1/requests/r%2F1/stream")
 		var text strings.Builder
 		for i := from; i < total; i++ {
 			text.WriteString(chunk(fmt.Sprintf("data: {\"n\":%d}\n\n", i)))
