--- a/spec/check.sh
+++ b/spec/check.sh
@@ -3,18 +3,27 @@
 # its mutations is rejected. The runs are declared in the header of each file:
 #
 #   check: safety FLAGS                    assertions and invalid end states
+#   check: acyclic FLAGS                   every run ends (no cycle at all)
 #   check: ltl NAME FLAGS                  a property under weak fairness
+#   deep: MODE FLAGS                       a check that only -deep runs
 #   mutation: assertion FLAGS | MEANING    must violate an assertion
 #   mutation: ltl NAME FLAGS | MEANING     must violate the property
 #
-# A truncated search is a failure. Prints a line for each run; names of
-# specifications as arguments select some of them.
+# A truncated search is a failure. Prints a line for each run.
+# Usage: check.sh [-deep] [FILE.pml ...]
 set -euo pipefail
 cd "$(dirname "$0")"
 
 readonly max_depth=2000000         # steps; a deeper search fails the run
-readonly memory_limit_mb=1200      # for each run; reaching it fails the run
-readonly parallel_runs=3           # together below 4 GB
+memory_limit_mb=1200               # for each run; reaching it fails the run
+parallel_runs=3                    # together below 4 GB
+kinds='check\|mutation'
+if [ "${1:-}" = -deep ]; then
+  shift
+  memory_limit_mb=7000
+  parallel_runs=1
+  kinds=deep
+fi
 
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
@@ -28,7 +37,7 @@
 # check_one INDEX FILE KIND(check|mutation) MODE REST: runs one search and
 # leaves its line in INDEX.line and its verdict in INDEX.ok or INDEX.bad.
 check_one() {
-  local index=$1 file=$2 kind=$3 mode=$4 rest=$5
+  local index=$1 file=$2 kind=${3/deep/check} mode=$4 rest=$5
   local dir=$work/$index flags=${rest%%|*} meaning="" name="" build=(-O2 -w) run=("-m$max_depth" -w22)
   [[ $rest == *'|'* ]] && meaning=${rest#*|}
   if [ "$mode" = ltl ]; then
@@ -36,6 +45,9 @@
     flags=${flags#"$name"}
     build+=(-DNFAIR=3)
     run+=(-a -f -N "$name")
+  elif [ "$mode" = acyclic ]; then
+    build+=(-DNP -DNOCLAIM)
+    run+=(-l)
   else
     build+=(-DSAFETY -DNOCLAIM)
   fi
@@ -75,7 +87,7 @@
     index=$((index + 1))
     while [ "$(jobs -pr | wc -l)" -ge "$parallel_runs" ]; do wait -n; done
     check_one "$index" "$file" "${kind%:}" "$mode" "$rest" &
-  done < <(sed -n 's/^ \* \(\(check\|mutation\): .*\)/\1/p' "$file")
+  done < <(sed -n 's/^ \* \(\('"$kinds"'\): .*\)/\1/p' "$file")
 done
 wait
 
