--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -13,7 +13,7 @@
 	// cacheTokens is the memory of one engine's prefix cache.
 	cacheTokens = 48 << 10
 	// chunkTokens bounds the prompt tokens that one step reads.
-	chunkTokens = 1024
+	chunkTokens = 512
 	// fixedStep is the part of a full batch's decode step that an empty batch
 	// takes as well.
 	fixedStep = 0.6
--- a/internal/experiment/reference.go
+++ b/internal/experiment/reference.go
@@ -68,7 +68,8 @@
 	return best, took
 }
 
-// estimate is the time in which the engine would end a call that came now.
+// estimate is the time in which the engine would end a call that came now, if
+// all its slots were taken.
 func (e *engine) estimate(c *call) time.Duration {
 	unread := c.prompt
 	if e.cache.holds(c.prefix) {
@@ -77,7 +78,7 @@
 	for _, r := range e.batch {
 		unread += r.toRead - r.read
 	}
-	return e.stepTime(0, unread) + time.Duration(c.output)*e.stepTime(len(e.batch)+1, 0)
+	return e.stepTime(0, unread) + time.Duration(c.output)*e.stepTime(e.slots, 0)
 }
 
 func (s *reference) dispatch(c *call, on *engine) {
