Learn answer lengths by tier as well

Cause: lengths were learnt by organisation and pool alone, so that a short quote was expected to be as long as the organisation's histories. Admission and the charges between organisations were both wrong by the ratio of the tiers' lengths. Ruled out: the fair queue itself; with unlike organisations of one tier and right lengths it divides by share. Change: the tier is part of the key of a learnt length.

--- a/internal/reducer/finish.go
+++ b/internal/reducer/finish.go
@@ -12,6 +12,7 @@
 type lengthKey struct {
 	organisation string
 	pool         string
+	tier         string
 }
 
 // Length constants.
@@ -24,9 +25,9 @@
 	maxLengths = 20_000
 )
 
-// likelyOutput is what an answer of this organisation usually takes.
+// likelyOutput is what an answer of this organisation and tier usually takes.
 func (s *State) likelyOutput(q *Request) int {
-	l, ok := s.lengths[lengthKey{q.Organisation, q.Pool}]
+	l, ok := s.lengths[lengthKey{q.Organisation, q.Pool, q.Tier}]
 	if !ok {
 		return q.OutputTokens
 	}
@@ -34,7 +35,7 @@
 }
 
 func (s *State) learnLength(q *Request, output int) {
-	k := lengthKey{q.Organisation, q.Pool}
+	k := lengthKey{q.Organisation, q.Pool, q.Tier}
 	l, ok := s.lengths[k]
 	switch {
 	case ok:
