Estimate a run by the pool's mean slot

Cause: a run was estimated on the first endpoint by name, often the slowest class, so that deadlines looked unmet that were not, and the reverse. Ruled out: the learnt factor alone cannot mend it, since it is learnt on all endpoints but applied to the first. Change: the mean over the owned endpoints, weighted by their slots.

--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -46,13 +46,19 @@
 	reported         bool
 }
 
-// estimateService returns the slot seconds of an entry on the pool's usual
-// endpoint: prefill, then decode at the rate of one slot of a full endpoint.
+// estimateService returns the slot seconds of an entry on the pool's mean slot:
+// prefill, then decode at the rate of one slot of a full endpoint. Unlike
+// endpoints count by their slots, since that is how often each is used.
 func (s *State) estimateService(p *pool, e *entry) float64 {
-	if len(p.owned) == 0 {
+	sum, slots := 0.0, 0
+	for _, on := range p.owned {
+		sum += classSeconds(on, e.prompt, e.output) * float64(on.slots)
+		slots += on.slots
+	}
+	if slots == 0 {
 		return defaultServiceSeconds
 	}
-	return classSeconds(p.owned[0], e.prompt, e.output) * p.serviceError
+	return sum / float64(slots) * p.serviceError
 }
 
 // classSeconds is the time that a run should take by the class's declared
