--- a/internal/experiment/instance.go
+++ b/internal/experiment/instance.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
 	"github.com/balsamstair/balsamstair/internal/reducer"
+	"github.com/balsamstair/balsamstair/internal/refusal"
 )
 
 // Times between the processes of a zone.
@@ -229,10 +230,7 @@
 
 func (i *instance) ended(id reducer.RequestID, r *run, how reducer.Ended) {
 	z := i.fleet.zone
-	z.ended(r, how, i.alive)
-	if !i.alive {
-		return
-	}
+	z.ended(r, how)
 	delete(i.runs, id)
 	delete(i.calls, id)
 	if how == reducer.EndedWhole {
@@ -283,15 +281,27 @@
 	}
 }
 
-// kill ends a process with all that waits on it.
+// kill ends a process with all that waits on it. Callers send again to other
+// instances, which take up the runs that the engines still have.
 func (i *instance) kill() {
 	z := i.fleet.zone
 	i.alive = false
+	taken := map[*call]bool{}
 	for _, r := range i.runs {
-		z.after(disconnectGrace, func() { r.engine.end(r, reducer.EndedCancelled) })
+		taken[r.call] = !r.call.over
+		r.first = func() { z.began(r.call) }
+		r.ended = func(how reducer.Ended) {
+			z.ended(r, how)
+			if how == reducer.EndedBroken {
+				z.refused(r.call, refusal.EndpointFailed, 0)
+			}
+		}
+		if r.call.over {
+			z.after(disconnectGrace, func() { r.engine.end(r, reducer.EndedCancelled) })
+		}
 	}
 	for _, w := range sortedWaiters(i.waiters) {
-		if c := i.waiters[w]; !c.over && c.resends < mostResends {
+		if c := i.waiters[w]; !c.over && !taken[c] && c.resends < mostResends {
 			c.resends++
 			z.resend(c, resendDelay)
 		}
--- a/internal/experiment/reference.go
+++ b/internal/experiment/reference.go
@@ -86,7 +86,7 @@
 	r.first = func() { s.zone.began(c) }
 	r.ended = func(how reducer.Ended) {
 		delete(s.running, c)
-		s.zone.ended(r, how, true)
+		s.zone.ended(r, how)
 		if how == reducer.EndedBroken {
 			s.zone.refused(c, refusal.EndpointFailed, 0)
 		}
--- a/internal/experiment/zone.go
+++ b/internal/experiment/zone.go
@@ -134,9 +134,9 @@
 }
 
 // ended counts what the run's prefill was good for.
-func (z *zone) ended(r *run, how reducer.Ended, held bool) {
+func (z *zone) ended(r *run, how reducer.Ended) {
 	switch {
-	case how == reducer.EndedBroken || !held:
+	case how == reducer.EndedBroken:
 		z.outcome.waste(reducer.WasteBroken, r)
 	case how == reducer.EndedCancelled:
 		z.outcome.waste(reducer.WasteCancelled, r)
