--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -54,7 +54,7 @@
 availability_zone = "a"
 address = %q
 models = ["chat"]
-slots = 8
+slots = %d
 [[endpoint]]
 name = "s0"
 class = "services"
@@ -123,13 +123,25 @@
 	return true
 }
 
+// newRig starts a rig whose engine is quick.
 func newRig(t testing.TB) *rig {
-	r := &rig{recorder: standin.NewRecorder()}
 	quick := standin.DefaultEngineSettings()
 	quick.DecodeStep, quick.DecodeStepPerRequest = time.Millisecond, 0
-	r.engines = listen(t, standin.NewEngine(quick, r.recorder))
+	return startRig(t, quick, 8)
+}
+
+// newRigOf starts a rig whose engine has so many slots.
+func newRigOf(t testing.TB, slots int) *rig {
+	engine := standin.DefaultEngineSettings()
+	engine.MaxBatch, engine.DecodeStep, engine.DecodeStepPerRequest = slots, 10*time.Millisecond, 0
+	return startRig(t, engine, slots)
+}
+
+func startRig(t testing.TB, engine standin.EngineSettings, slots int) *rig {
+	r := &rig{recorder: standin.NewRecorder()}
+	r.engines = listen(t, standin.NewEngine(engine, r.recorder))
 	services := listen(t, standin.NewService(standin.DefaultServiceSettings(), r.recorder))
-	f, err := declared.Parse([]byte(fmt.Sprintf(testFile, r.engines, services,
+	f, err := declared.Parse([]byte(fmt.Sprintf(testFile, r.engines, slots, services,
 		sha256.Sum256([]byte("key-one")), sha256.Sum256([]byte("key-two")))))
 	must.NoError(t, err)
 
--- a/internal/reducer/zone_test.go
+++ b/internal/reducer/zone_test.go
@@ -507,6 +507,13 @@
 		dst.raisers[c.GetPool()] = from.decide()
 		z.note("%s closes rank %d of %s at %s, round %d", from.name, c.GetRank(), c.GetPool(), dst.name, c.GetRound())
 	}
+	for _, c := range f.GetHeartbeat().GetClosures() {
+		// A joining member takes over what another has closed, with the
+		// decision behind it.
+		if d, ok := from.raisers[c.GetPool()]; ok && !dst.ready {
+			dst.raisers[c.GetPool()] = d
+		}
+	}
 	if c := f.GetTierCloseConfirm(); c != nil {
 		z.note("%s confirms rank %d of %s to %s, round %d", from.name, c.GetRank(), c.GetPool(), dst.name, c.GetRound())
 	}
