Refuse at the grant what would end too late

Cause: deadlines were looked at on arrival alone. What waited almost to its deadline was dispatched all the same, and its prefill reached nobody. Ruled out: doing so without the right to shed, which would refuse a tier while a lower one waits; what may not be shed runs as before. Change: a request at the head of the queue whose run would end after its deadline on the endpoint chosen for it is refused where the tier may be shed.

--- a/internal/reducer/owner.go
+++ b/internal/reducer/owner.go
@@ -210,6 +210,10 @@
 		if e == nil {
 			return
 		}
+		if s.tooLate(on, e) && s.mayShed(e.pool, e.rank) {
+			s.shedNow(e, shedDeadline)
+			continue
+		}
 		s.grantSlot(e, on)
 	}
 }
--- a/internal/reducer/shed.go
+++ b/internal/reducer/shed.go
@@ -61,6 +61,12 @@
 	return max(0, ahead)+e.service > left
 }
 
+// tooLate reports whether a run that began now on the endpoint would end after
+// the entry's deadline: its prefill would be wasted.
+func (s *State) tooLate(on *endpoint, e *entry) bool {
+	return s.costOn(on, e) > e.deadline.Sub(s.now).Seconds()
+}
+
 // overflow takes the newest of the lowest tier that waits here.
 func (s *State) overflow(p *pool) {
 	if e := p.newest(p.lowestWaiting()); e != nil {
