Count what keeps arriving for higher tiers into the wait of a lower one

Cause: the wait of a lower tier was estimated as if nothing more would come for the tiers above it. At 2x its queue grew until requests ran too late. Ruled out: a longer margin on each estimate, which would refuse at any load. Change: each tier's arriving work is averaged over 10 s; the work ahead is divided by the slots that the tiers above leave, at least a twentieth.

--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -308,5 +308,11 @@
 	if free > 0 && ahead == 0 {
 		return 0
 	}
-	return (ahead + running/2) / float64(slots)
+	// What arrives for higher tiers meanwhile goes first as well.
+	left := max(leastPart*float64(slots), float64(slots)-p.rateAhead(rank, s.now))
+	return (ahead + running/2) / left
 }
+
+// leastPart is the part of the slots that a tier is thought to get however
+// much arrives for the tiers above it.
+const leastPart = 0.05
--- a/internal/reducer/queue.go
+++ b/internal/reducer/queue.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"math"
+	"time"
 )
 
 // entry is one waiting request at its owner.
@@ -66,6 +68,9 @@
 	// service sums the estimated slot seconds of what waits.
 	service float64
 	virtual float64
+	// offered is the rate of arriving work, in slots, at the time ratedAt.
+	offered float64
+	ratedAt Instant
 	// arrivals is in order of arrival, for taking the newest.
 	arrivals []*entry
 }
@@ -139,6 +144,8 @@
 	t.arrivals = append(t.arrivals, e)
 	t.waiting++
 	t.service += e.service
+	t.offered = t.rate(e.arrived) + e.service/rateSpan.Seconds()
+	t.ratedAt = e.arrived
 	p.waiting++
 	p.entries[e.key] = e
 }
@@ -274,6 +281,23 @@
 	return sum
 }
 
+// rateSpan is the span over which the rate of arriving work is averaged.
+const rateSpan = 10 * time.Second
+
+// rate is the work that arrives, in slots: slot seconds a second.
+func (t *tierQueue) rate(now Instant) float64 {
+	return t.offered * math.Exp(-now.Sub(t.ratedAt).Seconds()/rateSpan.Seconds())
+}
+
+// rateAhead sums the work that keeps arriving for the tiers above a rank.
+func (p *pool) rateAhead(rank int, now Instant) float64 {
+	sum := 0.0
+	for r := 1; r < rank && r <= len(p.tiers); r++ {
+		sum += p.tiers[r-1].rate(now)
+	}
+	return sum
+}
+
 func (p *pool) dropHolder(id Incarnation) {
 	for key, e := range p.entries {
 		if key.holder == id {
