Compare owners by like waits

Cause: a holder compared its own wait for the request's tier with the wait that its peers told for their lowest tier, and so kept top tier work to itself while peers had room; a peer's queue was weighed as one second a request. Ruled out: the published age of the figures, which is half a second at most. Change: the wait that is published is the one of the highest tier, one's own is taken from the same figures, the waiting of the tiers in between is added, and a request counts as long as a run usually takes.

--- a/internal/reducer/finish.go
+++ b/internal/reducer/finish.go
@@ -21,6 +21,8 @@
 	lengthWeight = 0.1
 	// lengthMargin scales the average up to an expectation that few exceed.
 	lengthMargin = 1.5
+	// usualWeight is the weight of one run in a pool's usual time.
+	usualWeight = 0.05
 	// maxLengths bounds the learnt averages.
 	maxLengths = 20_000
 )
@@ -122,6 +124,9 @@
 	case s.now >= r.deadline:
 		s.count(CounterWastedPrefill, string(WasteLate), int64(prefill))
 	}
+	if p := s.pools[r.req.Pool]; p != nil && res.Ended == EndedWhole {
+		p.usualSeconds += usualWeight * (res.Elapsed.Seconds() - p.usualSeconds)
+	}
 	if res.Ended == EndedWhole {
 		s.learnLength(&r.req, res.OutputTokens)
 	}
--- a/internal/reducer/owner.go
+++ b/internal/reducer/owner.go
@@ -298,16 +298,20 @@
 		if len(p.owned) == 0 {
 			continue
 		}
-		l := &peerpb.PoolLoad{Pool: p.name, FreeSlots: uint32(s.freeSlots(p)), Waiting: make([]uint32, len(p.tiers))}
-		for i, t := range p.tiers {
-			l.Waiting[i] = uint32(t.waiting)
-		}
-		l.WaitMs = uint32(1000 * s.waitSeconds(p, len(p.tiers)))
-		loads = append(loads, l)
+		loads = append(loads, s.poolLoad(p))
 	}
 	return loads
 }
 
+func (s *State) poolLoad(p *pool) *peerpb.PoolLoad {
+	l := &peerpb.PoolLoad{Pool: p.name, FreeSlots: uint32(s.freeSlots(p)), Waiting: make([]uint32, len(p.tiers))}
+	for i, t := range p.tiers {
+		l.Waiting[i] = uint32(t.waiting)
+	}
+	l.WaitMs = uint32(1000 * s.waitSeconds(p, 1))
+	return l
+}
+
 func (s *State) freeSlots(p *pool) int {
 	n := 0
 	for _, e := range p.owned {
--- a/internal/reducer/queue.go
+++ b/internal/reducer/queue.go
@@ -51,6 +51,8 @@
 
 	// serviceError is the learnt ratio of measured to estimated time.
 	serviceError float64
+	// usualSeconds is the moving average of how long a run takes.
+	usualSeconds float64
 	robin        int
 }
 
@@ -111,7 +113,7 @@
 }
 
 func newPool(name string, tiers int) *pool {
-	p := &pool{name: name, entries: map[grantKey]*entry{}, serviceError: 1}
+	p := &pool{name: name, entries: map[grantKey]*entry{}, serviceError: 1, usualSeconds: 1}
 	p.setTiers(tiers)
 	return p
 }
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -291,26 +291,29 @@
 // work.
 func (s *State) expectedWait(p *pool, o poolOwner, r *request) (float64, bool) {
 	jitter := float64(mix(uint64(o.id)^uint64(r.id))%1000) * 1e-6
+	l, sent := (*peerpb.PoolLoad)(nil), 0
 	if o.id == s.cfg.Incarnation {
-		if s.freeSlots(p) > 0 && p.waiting == 0 {
-			return jitter, true
+		l = s.poolLoad(p)
+	} else {
+		q := s.peers[o.id]
+		if q == nil || !q.usable() {
+			return 0, false
 		}
-		return jitter + s.waitSeconds(p, r.rank), true
+		l, sent = q.loads[p.name], q.sent[p.name]
+		jitter += 0.002
 	}
-	q := s.peers[o.id]
-	if q == nil || !q.usable() {
-		return 0, false
-	}
-	l := q.loads[p.name]
 	if l == nil {
 		return 1 + jitter, true
 	}
-	sent := q.sent[p.name]
 	if int(l.GetFreeSlots()) > sent {
-		return 0.002 + jitter, true
+		return jitter, true
+	}
+	// The wait is that of the highest tier; lower ones wait for all in between.
+	ahead := sent - int(l.GetFreeSlots()) + 1
+	for rank := 2; rank <= r.rank && rank <= len(l.GetWaiting()); rank++ {
+		ahead += int(l.GetWaiting()[rank-1])
 	}
-	service := 1.0
-	return float64(l.GetWaitMs())/1000 + float64(sent-int(l.GetFreeSlots())+1)*service/float64(max(1, o.slots)) + jitter, true
+	return float64(l.GetWaitMs())/1000 + float64(ahead)*p.usualSeconds/float64(max(1, o.slots)) + jitter, true
 }
 
 // beginRound starts a round of asking; leases of its grants run from now.
