--- a/internal/experiment/cache.go
+++ b/internal/experiment/cache.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// shared lists the shared prefixes, the one used last first.
+func (c *prefixCache) shared() []uint64 {
+	var keys []uint64
+	for at := c.order.Front(); at != nil; at = at.Next() {
+		if p := at.Value.(piece); p.shared {
+			keys = append(keys, p.key)
+		}
+	}
+	return keys
+}
+
 // clear forgets everything without a word, as a crash does.
 func (c *prefixCache) clear() {
 	c.order.Init()
--- a/internal/experiment/reference.go
+++ b/internal/experiment/reference.go
@@ -83,15 +83,52 @@
 
 func (s *reference) dispatch(c *call, on *engine) {
 	r := &run{call: c}
-	r.first = func() { s.zone.began(c) }
-	r.ended = func(how reducer.Ended) {
+	s.running[c] = r
+	s.zone.dispatch(r, on, func() {
 		delete(s.running, c)
-		s.zone.ended(r, how)
+		s.zone.after(0, s.fill)
+	})
+}
+
+// dispatch runs a call without an instance in between.
+func (z *zone) dispatch(r *run, on *engine, ended func()) {
+	r.first = func() { z.began(r.call) }
+	r.ended = func(how reducer.Ended) {
+		ended()
+		z.ended(r, how)
 		if how == reducer.EndedBroken {
-			s.zone.refused(c, refusal.EndpointFailed, 0)
+			z.refused(r.call, refusal.EndpointFailed, 0)
 		}
-		s.zone.after(0, s.fill)
 	}
-	s.running[c] = r
 	on.add(r)
 }
+
+// plain gives each call to the next engine at once, as a balancer without
+// tiers, queue or admission does.
+type plain struct {
+	zone    *zone
+	next    int
+	running map[*call]*run
+}
+
+// submit implements scheduler.
+func (s *plain) submit(c *call) {
+	for range s.zone.engines {
+		on := s.zone.engines[s.next%len(s.zone.engines)]
+		s.next++
+		if !on.down {
+			r := &run{call: c}
+			s.running[c] = r
+			s.zone.dispatch(r, on, func() { delete(s.running, c) })
+			return
+		}
+	}
+	s.zone.refused(c, refusal.NoEndpoint, time.Second)
+}
+
+// leave implements scheduler.
+func (s *plain) leave(c *call) {
+	if r := s.running[c]; r != nil {
+		r.engine.end(r, reducer.EndedCancelled)
+	}
+}
