--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+	"github.com/balsamstair/balsamstair/internal/peer/peertest"
 )
 
 // notify is a Handler that only says that a frame came.
@@ -26,36 +27,12 @@
 	return u.Utime.Nano() + u.Stime.Nano()
 }
 
-func smallFrames() map[string]*peerpb.Frame {
-	pools := []*peerpb.PoolLoad{
-		{Pool: "birch-large", FreeSlots: 12, Waiting: []uint32{0, 1, 4, 30}, WaitMs: 180},
-		{Pool: "birch-small", FreeSlots: 40, Waiting: []uint32{0, 0, 0, 2}, WaitMs: 15},
-		{Pool: "booking", FreeSlots: 8, Waiting: []uint32{0, 0, 0, 0}},
-	}
-	return map[string]*peerpb.Frame{
-		"Ask": {Body: &peerpb.Frame_Ask{Ask: &peerpb.Ask{
-			Request: 100_000, Round: 200, Pool: "birch-large", Organisation: "organisation-1234", Rank: 2,
-			PromptTokens: 1500, OutputTokens: 400, Prefix: 1 << 60, Fingerprint: 1 << 61, DeadlineMs: 30_000,
-		}}},
-		"Grant": {Body: &peerpb.Frame_Grant{Grant: &peerpb.Grant{
-			Request: 100_000, Round: 200, Endpoint: "north-runner-12",
-		}}},
-		"Release": {Body: &peerpb.Frame_Release{Release: &peerpb.Release{
-			Request: 100_000, Endpoint: "north-runner-12", Dispatched: true, PromptTokens: 1500, CachedTokens: 900,
-			OutputTokens: 380, ElapsedMs: 15_000, FirstTokenMs: 700,
-		}}},
-		"Heartbeat": {Body: &peerpb.Frame_Heartbeat{Heartbeat: &peerpb.Heartbeat{
-			Sequence: 100_000, Revision: 5000, Digest: make([]byte, 32), View: 1 << 60, Pools: pools,
-		}}},
-	}
-}
-
 // BenchmarkFrame sends frames from one Transport to another in this process:
 // alone, each after the one before has arrived, and many at a time. It reports
 // a frame's bytes on the control stream and below yamux, window updates
 // included, and the processor time of both ends together.
 func BenchmarkFrame(b *testing.B) {
-	for name, f := range smallFrames() {
+	for name, f := range peertest.SmallFrames() {
 		b.Run(name+"/alone", func(b *testing.B) { benchmarkFrame(b, f, 1) })
 		b.Run(name+"/many", func(b *testing.B) { benchmarkFrame(b, f, 64) })
 	}
--- a/internal/peer/churn_test.go
+++ b/internal/peer/churn_test.go
@@ -57,7 +57,7 @@
 // if the Handler was told anything of a peer twice in a row.
 func toldUp(t *testing.T, n *node) int {
 	last := map[string]string{}
-	for _, told := range n.told() {
+	for _, told := range n.Told() {
 		verb, rest, _ := strings.Cut(told, " ")
 		peer, _, _ := strings.Cut(rest, " ")
 		must.NotEq(t, last[peer], verb)
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/balsamstair/balsamstair/internal/peer/peertest"
 )
 
 type peerKey struct{}
@@ -32,8 +34,8 @@
 	t.Helper()
 	a, b = start(t, 1, nil), start(t, 2, nil)
 	a.Connect(b.address)
-	a.awaitUps(t, "up 2 instance-2")
-	b.awaitUps(t, "up 1 instance-1")
+	a.AwaitTold(t, "up 2 instance-2")
+	b.AwaitTold(t, "up 1 instance-1")
 	return a, b
 }
 
@@ -92,7 +94,7 @@
 		must.Eq(t, 8<<20, n)
 		resp.Body.Close()
 		must.True(t, b.Send(1, ask(uint64(i))))
-		a.awaitFrames(t, i+1)
+		a.AwaitFrames(t, i+1)
 	}
 	n, err := io.Copy(io.Discard, stalled.Body)
 	must.NoError(t, err)
@@ -118,7 +120,7 @@
 	resp.Body.Close()
 	select {
 	case <-cancelled:
-	case <-time.After(patience):
+	case <-time.After(peertest.Patience):
 		t.Fatal("the handler was not cancelled")
 	}
 }
@@ -170,8 +172,8 @@
 func TestForwardsSurviveTheReplacementOfTheirSession(t *testing.T) {
 	a, b := start(t, 1, nil), start(t, 2, nil)
 	b.Connect(a.address)
-	a.awaitUps(t, "up 2 instance-2")
-	b.awaitUps(t, "up 1 instance-1")
+	a.AwaitTold(t, "up 2 instance-2")
+	b.AwaitTold(t, "up 1 instance-1")
 	next := make(chan string)
 	serveForwarded(t, b, func(w http.ResponseWriter, _ *http.Request) {
 		w.(http.Flusher).Flush()
@@ -194,6 +196,6 @@
 	must.Eq(t, "after\n", string(body))
 	resp.Body.Close()
 	eventually(t, func() bool { return a.Stats().Sessions == 1 && b.Stats().Sessions == 1 })
-	must.Len(t, 1, a.told())
-	must.Len(t, 1, b.told())
+	must.Len(t, 1, a.Told())
+	must.Len(t, 1, b.Told())
 }
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -19,10 +19,6 @@
 	return readFrame(bufio.NewReaderSize(bytes.NewReader(b), readerBytes))
 }
 
-func heartbeat(size int) *peerpb.Frame {
-	return &peerpb.Frame{Body: &peerpb.Frame_Heartbeat{Heartbeat: &peerpb.Heartbeat{Digest: make([]byte, size)}}}
-}
-
 func TestFramesReadAsEncoded(t *testing.T) {
 	for _, f := range []*peerpb.Frame{ask(1), heartbeat(100), heartbeat(60_000), fileReply(0), fileReply(3 << 20), {}} {
 		encoded, ok := encodeFrame(9, f)
--- a/internal/peer/stall_test.go
+++ b/internal/peer/stall_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+	"github.com/balsamstair/balsamstair/internal/peer/peertest"
 )
 
 // pausable passes nothing on until its gate is closed, as the connection of a
@@ -49,7 +50,7 @@
 	_, err = b.control.Write([]byte{streamControl})
 	must.NoError(t, err)
 	b.write(t, &peerpb.Frame{From: inc, Body: &peerpb.Frame_Hello{Hello: hello(inc)}})
-	to.await(t, "bare peer", func() bool { return len(to.ups) > 0 })
+	eventually(t, func() bool { return len(to.Told()) > 0 })
 	return b
 }
 
@@ -68,7 +69,7 @@
 	b := connectBare(t, 7, a)
 	other := start(t, 2, nil)
 	other.Connect(a.address)
-	a.await(t, "other", func() bool { return len(a.ups) == 2 })
+	eventually(t, func() bool { return len(a.Told()) == 2 })
 
 	// Five frames fit into the stream's window of 256 KB, one waits with the
 	// writer, twenty fit into the queue.
@@ -94,15 +95,15 @@
 	for i := range uint64(n) {
 		must.True(t, a.Send(2, ask(i)))
 		must.True(t, other.Send(1, ask(i)))
-		other.awaitFrames(t, int(i)+1)
+		other.AwaitFrames(t, int(i)+1)
 	}
-	a.awaitFrames(t, n)
-	must.Len(t, 2, a.told())
+	a.AwaitFrames(t, n)
+	must.Len(t, 2, a.Told())
 
 	// It goes on where it stopped, and can be closed while it is paused.
 	a.Close(7)
-	a.await(t, "down", func() bool { return len(a.ups) == 3 })
-	must.Eq(t, "down 7", a.told()[2])
+	eventually(t, func() bool { return len(a.Told()) == 3 })
+	must.Eq(t, "down 7", a.Told()[2])
 	eventually(t, func() bool { return a.Stats().Dropped[DroppedSessionLost] >= 100 })
 	close(b.gate)
 }
@@ -115,7 +116,7 @@
 		must.True(t, a.Send(7, ask(uint64(sent))))
 	}
 	close(b.gate)
-	_ = b.control.SetReadDeadline(time.Now().Add(patience))
+	_ = b.control.SetReadDeadline(time.Now().Add(peertest.Patience))
 	s := &session{}
 	s.useControl(b.control)
 	f, _, _, err := readFrame(s.reader)
@@ -130,19 +131,19 @@
 
 func TestHandlerThatBlocksHoldsUpOnlyItsPeer(t *testing.T) {
 	a := start(t, 1, nil)
-	a.block = make(chan struct{})
+	a.Block = make(chan struct{})
 	b := start(t, 2, nil)
 	b.Connect(a.address)
-	b.awaitUps(t, "up 1 instance-1")
+	b.AwaitTold(t, "up 1 instance-1")
 	must.True(t, b.Send(1, ask(1)))
 	for i := range uint64(100) {
 		must.True(t, a.Send(2, ask(i)))
 	}
-	b.awaitFrames(t, 100)
+	b.AwaitFrames(t, 100)
 	a.Close(2)
-	b.awaitUps(t, "up 1 instance-1", "down 1")
-	close(a.block)
-	a.awaitUps(t, "up 2 instance-2", "down 2")
+	b.AwaitTold(t, "up 1 instance-1", "down 1")
+	close(a.Block)
+	a.AwaitTold(t, "up 2 instance-2", "down 2")
 }
 
 func TestBadFramesEndTheSession(t *testing.T) {
@@ -169,9 +170,9 @@
 			b := connectBare(t, 7, a)
 			close(b.gate)
 			c.send(t, b)
-			a.awaitUps(t, "up 7 instance-7", "down 7")
+			a.AwaitTold(t, "up 7 instance-7", "down 7")
 			must.Eq(t, 1, a.Stats().Dropped[c.reason])
-			must.SliceEmpty(t, a.frames)
+			must.SliceEmpty(t, a.Frames())
 		})
 	}
 }
@@ -185,9 +186,9 @@
 	f := ask(5)
 	f.From = 7
 	b.write(t, f)
-	must.Eq(t, 5, a.awaitFrames(t, 1)[0].GetAsk().GetRequest())
+	must.Eq(t, 5, a.AwaitFrames(t, 1)[0].GetAsk().GetRequest())
 	must.Eq(t, 2, a.Stats().Dropped[DroppedUnexpected])
-	must.Len(t, 1, a.told())
+	must.Len(t, 1, a.Told())
 }
 
 func TestGarbageInsideAnEstablishedSession(t *testing.T) {
@@ -199,7 +200,7 @@
 	_, err = stream.Write([]byte("?"))
 	must.NoError(t, err)
 	eventually(t, func() bool { return a.Stats().Refused[RefusedStreamKind] == 1 })
-	must.Len(t, 1, a.told())
+	must.Len(t, 1, a.Told())
 }
 
 // Nothing but heartbeats may end the session of a peer that stands still.
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/tls"
-	"fmt"
 	"net"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,98 +13,23 @@
 
 	"github.com/balsamstair/balsamstair/internal/logline"
 	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+	"github.com/balsamstair/balsamstair/internal/peer/peertest"
 )
 
-// A wait for something that must happen is bounded by a number of looks, so
-// that a machine that stands still for a while fails no test.
-const (
-	looks    = 20_000
-	pause    = time.Millisecond
-	patience = looks * pause
-)
-
-// recorder is a Handler that notes what it is told as text.
-type recorder struct {
-	mu     sync.Mutex
-	ups    []string
-	frames []*peerpb.Frame
-	// block, if set, holds every Message up until it is closed.
-	block chan struct{}
-}
-
-func (r *recorder) note(f func()) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	f()
-}
-
-func (r *recorder) PeerUp(inc uint64, hello *peerpb.Hello) {
-	r.note(func() { r.ups = append(r.ups, fmt.Sprintf("up %d %s", inc, hello.GetInstance())) })
-}
-
-func (r *recorder) PeerDown(inc uint64) {
-	r.note(func() { r.ups = append(r.ups, fmt.Sprintf("down %d", inc)) })
-}
-
-func (r *recorder) Message(from uint64, f *peerpb.Frame) {
-	if r.block != nil {
-		<-r.block
-	}
-	r.note(func() { r.frames = append(r.frames, f) })
-}
-
-// await waits until the condition holds; it is called with the lock held.
-func (r *recorder) await(t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	holds := func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return condition()
-	}
-	if !within(holds) {
-		t.Fatalf("not seen: %s; have %v", what, r.told())
-	}
-}
-
-func (r *recorder) awaitUps(t *testing.T, want ...string) {
-	t.Helper()
-	r.await(t, fmt.Sprint(want), func() bool { return len(r.ups) >= len(want) })
-	must.Eq(t, want, r.told())
-}
-
-// told returns the ups and downs so far.
-func (r *recorder) told() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Clone(r.ups)
-}
-
-func (r *recorder) awaitFrames(t *testing.T, n int) []*peerpb.Frame {
-	t.Helper()
-	r.await(t, "frames", func() bool { return len(r.frames) >= n })
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.frames
-}
-
 // node is one Transport that is being served.
 type node struct {
 	*Transport
-	*recorder
+	*peertest.Recorder
 	address string
 	stop    func()
 }
 
-func hello(inc uint64) *peerpb.Hello {
-	return &peerpb.Hello{Instance: fmt.Sprintf("instance-%d", inc), AvailabilityZone: "north", Protocol: Protocol}
-}
-
 func start(t *testing.T, inc uint64, change func(*Config)) *node {
 	t.Helper()
-	n := &node{recorder: &recorder{}}
+	n := &node{Recorder: &peertest.Recorder{}}
 	var log bytes.Buffer
 	cfg := Config{
-		Incarnation: inc, Hello: hello(inc), ListenAddress: "127.0.0.1:0", Handler: n.recorder,
+		Incarnation: inc, Hello: hello(inc), ListenAddress: "127.0.0.1:0", Handler: n.Recorder,
 		Log: logline.New(&log, "debug"),
 	}
 	if change != nil {
@@ -141,48 +64,32 @@
 	return n
 }
 
-func eventually(t *testing.T, condition func() bool) {
-	t.Helper()
-	if !within(condition) {
-		t.Fatal("condition never held")
-	}
-}
-
-func within(condition func() bool) bool {
-	for range looks {
-		if condition() {
-			return true
-		}
-		time.Sleep(pause)
-	}
-	return false
-}
-
-func ask(n uint64) *peerpb.Frame {
-	return &peerpb.Frame{Body: &peerpb.Frame_Ask{Ask: &peerpb.Ask{Request: n, Round: 1, Pool: "birch"}}}
-}
+// The helpers are named often.
+var (
+	eventually = peertest.Eventually
+	ask        = peertest.Ask
+	heartbeat  = peertest.Heartbeat
+	fileReply  = peertest.FileReply
+)
 
-func fileReply(size int) *peerpb.Frame {
-	reply := &peerpb.FileReply{Revision: 3, Parts: [][]byte{make([]byte, size)}}
-	return &peerpb.Frame{Body: &peerpb.Frame_FileReply{FileReply: reply}}
-}
+func hello(inc uint64) *peerpb.Hello { return peertest.Hello(inc, Protocol) }
 
 func TestFramesPassBothWaysInOrder(t *testing.T) {
 	a, b := start(t, 1, nil), start(t, 2, nil)
 	a.Connect(b.address)
-	a.awaitUps(t, "up 2 instance-2")
-	b.awaitUps(t, "up 1 instance-1")
+	a.AwaitTold(t, "up 2 instance-2")
+	b.AwaitTold(t, "up 1 instance-1")
 	const n = 2000
 	for i := range uint64(n) {
 		must.True(t, a.Send(2, ask(i)))
 		must.True(t, b.Send(1, ask(i)))
 	}
-	for _, got := range [][]*peerpb.Frame{a.awaitFrames(t, n), b.awaitFrames(t, n)} {
+	for _, got := range [][]*peerpb.Frame{a.AwaitFrames(t, n), b.AwaitFrames(t, n)} {
 		for i, f := range got {
 			must.Eq(t, uint64(i), f.GetAsk().GetRequest())
 		}
 	}
-	must.Eq(t, 1, b.awaitFrames(t, n)[0].GetFrom())
+	must.Eq(t, 1, b.AwaitFrames(t, n)[0].GetFrom())
 	eventually(t, func() bool { return a.Stats().Sent["ask"].Frames == n })
 	must.Eq(t, a.Stats().Sent["ask"], b.Stats().Received["ask"])
 	must.Eq(t, 1, a.Stats().Peers)
@@ -196,7 +103,7 @@
 		}
 	}
 	for i, n := range nodes {
-		n.await(t, "two peers", func() bool { return len(n.ups) >= 2 })
+		eventually(t, func() bool { return len(n.Told()) >= 2 })
 		for j := range nodes {
 			if i != j {
 				must.True(t, n.Send(uint64(j+1), ask(uint64(i))))
@@ -205,39 +112,39 @@
 		eventually(t, func() bool { return n.Stats().Refused[RefusedSelf] == 2 })
 	}
 	for _, n := range nodes {
-		n.awaitFrames(t, 2)
+		n.AwaitFrames(t, 2)
 		eventually(t, func() bool { return n.Stats().Sessions == 2 })
-		must.Eq(t, 2, len(n.told()))
+		must.Eq(t, 2, len(n.Told()))
 	}
 }
 
 func TestDyingPeerIsReportedAndComesBackAsAnother(t *testing.T) {
 	a, b := start(t, 1, nil), start(t, 2, nil)
 	a.Connect(b.address)
-	b.awaitUps(t, "up 1 instance-1")
+	b.AwaitTold(t, "up 1 instance-1")
 	b.stop()
-	a.awaitUps(t, "up 2 instance-2", "down 2")
-	b.awaitUps(t, "up 1 instance-1", "down 1")
+	a.AwaitTold(t, "up 2 instance-2", "down 2")
+	b.AwaitTold(t, "up 1 instance-1", "down 1")
 	must.False(t, a.Send(2, ask(1)))
 	must.Eq(t, 1, a.Stats().Dropped[DroppedNoSession])
 	must.Eq(t, 0, a.Stats().Sessions)
 	again := start(t, 3, func(c *Config) { c.ListenAddress = b.address })
 	a.Connect(b.address)
-	a.awaitUps(t, "up 2 instance-2", "down 2", "up 3 instance-3")
-	again.awaitUps(t, "up 1 instance-1")
+	a.AwaitTold(t, "up 2 instance-2", "down 2", "up 3 instance-3")
+	again.AwaitTold(t, "up 1 instance-1")
 }
 
 func TestCloseEndsTheSessionAndConnectOpensAnother(t *testing.T) {
 	a, b := start(t, 1, nil), start(t, 2, nil)
 	for range 3 {
 		a.Connect(b.address)
-		a.await(t, "up", func() bool { return len(a.ups)%2 == 1 })
-		b.await(t, "up", func() bool { return len(b.ups)%2 == 1 })
+		eventually(t, func() bool { return len(a.Told())%2 == 1 })
+		eventually(t, func() bool { return len(b.Told())%2 == 1 })
 		a.Close(2)
-		a.await(t, "down", func() bool { return len(a.ups)%2 == 0 })
-		b.await(t, "down", func() bool { return len(b.ups)%2 == 0 })
+		eventually(t, func() bool { return len(a.Told())%2 == 0 })
+		eventually(t, func() bool { return len(b.Told())%2 == 0 })
 	}
-	must.Len(t, 6, a.told())
+	must.Len(t, 6, a.Told())
 }
 
 func TestConnectIsIdempotent(t *testing.T) {
@@ -245,7 +152,7 @@
 	for range 20 {
 		a.Connect(b.address)
 	}
-	a.awaitUps(t, "up 2 instance-2")
+	a.AwaitTold(t, "up 2 instance-2")
 	for range 20 {
 		a.Connect(b.address)
 	}
@@ -260,8 +167,8 @@
 		a, b := start(t, 1, nil), start(t, 2, nil)
 		go a.Connect(b.address)
 		b.Connect(a.address)
-		a.await(t, "up", func() bool { return len(a.ups) > 0 })
-		b.await(t, "up", func() bool { return len(b.ups) > 0 })
+		eventually(t, func() bool { return len(a.Told()) > 0 })
+		eventually(t, func() bool { return len(b.Told()) > 0 })
 		eventually(t, func() bool {
 			sa, sb := a.Stats(), b.Stats()
 			both := sa.Received["hello"].Frames + sb.Received["hello"].Frames
@@ -269,16 +176,16 @@
 		})
 		must.True(t, a.Send(2, ask(uint64(round))))
 		must.True(t, b.Send(1, ask(uint64(round))))
-		a.awaitFrames(t, 1)
-		b.awaitFrames(t, 1)
-		must.Eq(t, []string{"up 2 instance-2"}, a.told())
-		must.Eq(t, []string{"up 1 instance-1"}, b.told())
+		a.AwaitFrames(t, 1)
+		b.AwaitFrames(t, 1)
+		must.Eq(t, []string{"up 2 instance-2"}, a.Told())
+		must.Eq(t, []string{"up 1 instance-1"}, b.Told())
 		a.stop()
 		b.stop()
 	}
 }
 
-// register makes a second session whatever Connect thinks of it.
+// dialAgain opens a session whatever Connect thinks of it.
 func dialAgain(t *testing.T, from *node, address string) {
 	t.Helper()
 	from.goTracked(func(ctx context.Context) {
@@ -290,8 +197,8 @@
 func TestLaterSessionOfTheSmallerReplacesWithoutFlap(t *testing.T) {
 	a, b := start(t, 1, nil), start(t, 2, nil)
 	b.Connect(a.address)
-	a.awaitUps(t, "up 2 instance-2")
-	b.awaitUps(t, "up 1 instance-1")
+	a.AwaitTold(t, "up 2 instance-2")
+	b.AwaitTold(t, "up 1 instance-1")
 	const n = 500
 	for i := range uint64(n) {
 		if i == n/2 {
@@ -300,12 +207,12 @@
 		must.True(t, a.Send(2, ask(i)))
 		must.True(t, b.Send(1, ask(i)))
 	}
-	a.awaitFrames(t, n)
-	b.awaitFrames(t, n)
+	a.AwaitFrames(t, n)
+	b.AwaitFrames(t, n)
 	eventually(t, func() bool { return a.Stats().Received["hello"].Frames == 2 })
 	eventually(t, func() bool { return a.Stats().Sessions == 1 && b.Stats().Sessions == 1 })
 	for _, node := range []*node{a, b} {
-		must.Len(t, 1, node.told())
+		must.Len(t, 1, node.Told())
 		node.Transport.mu.Lock()
 		for _, l := range node.links {
 			must.Eq(t, 1, l.current().dialler())
@@ -314,74 +221,25 @@
 	}
 }
 
-// freezer relays one connection until it is frozen; from then on nothing
-// passes, as behind a cut that no reset comes through.
-func freezer(t *testing.T, target string) (address string, freeze func()) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	var mu sync.Mutex
-	frozen := false
-	pass := func(from, to net.Conn) {
-		buf := make([]byte, 32<<10)
-		for {
-			n, err := from.Read(buf)
-			mu.Lock()
-			cut := frozen
-			mu.Unlock()
-			if cut {
-				return
-			}
-			if err != nil {
-				to.Close()
-				return
-			}
-			_, _ = to.Write(buf[:n])
-		}
-	}
-	go func() {
-		for {
-			in, err := l.Accept()
-			if err != nil {
-				return
-			}
-			out, err := net.Dial("tcp", target)
-			if err != nil {
-				in.Close()
-				continue
-			}
-			t.Cleanup(func() { in.Close(); out.Close() })
-			go pass(in, out)
-			go pass(out, in)
-		}
-	}()
-	return l.Addr().String(), func() {
-		mu.Lock()
-		defer mu.Unlock()
-		frozen = true
-	}
-}
-
 // The smaller one's session is dead behind a cut of which only the larger one
 // knows. The larger one's new session must take its place.
 func TestDeadSessionGivesWayToALaterOne(t *testing.T) {
 	probe := func(c *Config) { c.ProbeTimeout = 200 * time.Millisecond }
 	a, b := start(t, 1, probe), start(t, 2, probe)
-	address, freeze := freezer(t, b.address)
+	address, freeze := peertest.Relay(t, b.address)
 	a.Connect(address)
-	b.awaitUps(t, "up 1 instance-1")
-	a.awaitUps(t, "up 2 instance-2")
+	b.AwaitTold(t, "up 1 instance-1")
+	a.AwaitTold(t, "up 2 instance-2")
 	freeze()
 	b.Close(1)
-	b.awaitUps(t, "up 1 instance-1", "down 1")
+	b.AwaitTold(t, "up 1 instance-1", "down 1")
 	b.Connect(a.address)
-	b.awaitUps(t, "up 1 instance-1", "down 1", "up 1 instance-1")
+	b.AwaitTold(t, "up 1 instance-1", "down 1", "up 1 instance-1")
 	eventually(t, func() bool { return a.Stats().Sessions == 1 })
 	must.True(t, a.Send(2, ask(7)))
-	b.awaitFrames(t, 1)
-	must.Len(t, 3, b.told())
-	must.Len(t, 1, a.told())
+	b.AwaitFrames(t, 1)
+	must.Len(t, 3, b.Told())
+	must.Len(t, 1, a.Told())
 }
 
 func TestRefusals(t *testing.T) {
@@ -406,8 +264,8 @@
 			})
 			must.Eq(t, 0, a.Stats().Sessions)
 			must.Eq(t, 0, b.Stats().Sessions)
-			must.SliceEmpty(t, a.told())
-			must.SliceEmpty(t, b.told())
+			must.SliceEmpty(t, a.Told())
+			must.SliceEmpty(t, b.Told())
 		})
 	}
 }
@@ -427,7 +285,7 @@
 func TestTooManyPeers(t *testing.T) {
 	a := start(t, 1, func(c *Config) { c.MaxPeers = 1 })
 	start(t, 2, nil).Connect(a.address)
-	a.awaitUps(t, "up 2 instance-2")
+	a.AwaitTold(t, "up 2 instance-2")
 	start(t, 3, nil).Connect(a.address)
 	eventually(t, func() bool { return a.Stats().Refused[RefusedTooManyPeers] == 1 })
 	must.Eq(t, 1, a.Stats().Sessions)
@@ -450,18 +308,18 @@
 	must.Eq(t, 0, a.Stats().Sessions)
 	b := start(t, 2, nil)
 	b.Connect(a.address)
-	a.awaitUps(t, "up 2 instance-2")
+	a.AwaitTold(t, "up 2 instance-2")
 }
 
 func TestTLS(t *testing.T) {
-	ours, theirs := newAuthority(t), newAuthority(t)
+	ours, theirs := peertest.NewAuthority(t), peertest.NewAuthority(t)
 	with := func(c *tls.Config) func(*Config) { return func(cfg *Config) { cfg.TLS = c } }
-	a := start(t, 1, with(ours.config(t, TLSName)))
-	start(t, 2, with(ours.config(t, TLSName))).Connect(a.address)
-	a.awaitUps(t, "up 2 instance-2")
+	a := start(t, 1, with(configOf(t, ours, TLSName)))
+	start(t, 2, with(configOf(t, ours, TLSName))).Connect(a.address)
+	a.AwaitTold(t, "up 2 instance-2")
 	must.True(t, a.Send(2, ask(1)))
 	for i, stranger := range []*tls.Config{
-		theirs.config(t, TLSName), ours.config(t, "caller.balsamstair"), nil,
+		configOf(t, theirs, TLSName), configOf(t, ours, "caller.balsamstair"), nil,
 	} {
 		n := start(t, uint64(10+i), func(c *Config) {
 			c.TLS = stranger
@@ -472,7 +330,7 @@
 		// And the other way round: the dialler checks as well.
 		a.Connect(n.address)
 		eventually(t, func() bool { return a.Stats().Refused[RefusedTLS] == int64(i)*2+2 })
-		must.SliceEmpty(t, n.told())
+		must.SliceEmpty(t, n.Told())
 	}
-	must.Len(t, 1, a.told())
+	must.Len(t, 1, a.Told())
 }
