--- a/cmd/balsam-standin/options.go
+++ b/cmd/balsam-standin/options.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
 	"github.com/cockroachdb/errors"
 
 	"github.com/balsamstair/balsamstair/internal/declared"
@@ -26,6 +25,7 @@
 	engines      addresses
 	services     addresses
 	models       string
+	bodyBytes    int
 	engine       standin.EngineSettings
 	service      standin.ServiceSettings
 }
@@ -70,6 +70,7 @@
 	flags.StringVar(&o.instances, "instances", "", "publish the JSON `file` as the instance list")
 	flags.StringVar(&o.fromDeclared, "from-declared", "", "serve each endpoint of the declared `file` at its address")
 	flags.StringVar(&o.control, "control", "", "serve the record of all stand-ins at `address`")
+	flags.IntVar(&o.bodyBytes, "record-body-bytes", standin.DefaultBodyKeptBytes, "how much of each body the record keeps")
 	flags.Var(&o.engines, "engine", "serve an engine at `address`; may be repeated")
 	flags.Var(&o.services, "service", "serve a plain service at `address`; may be repeated")
 	o.registerEngine(flags)
@@ -164,16 +165,17 @@
 	if o.fromDeclared == "" {
 		return nil, nil
 	}
-	var file declared.File
-	if _, err := toml.DecodeFile(o.fromDeclared, &file); err != nil {
+	data, err := os.ReadFile(o.fromDeclared)
+	if err != nil {
+		return nil, errors.Wrap(err, "-from-declared")
+	}
+	file, err := declared.Parse(data)
+	if err != nil {
 		return nil, errors.Wrap(err, "-from-declared")
 	}
 	var stands []stand
 	for i, endpoint := range file.Endpoints {
 		class := file.Class(endpoint.Class)
-		if class == nil {
-			return nil, errors.Newf("-from-declared: endpoint %q has the unknown class %q", endpoint.Name, endpoint.Class)
-		}
 		if class.Kind == declared.KindService {
 			stands = append(stands, newService(o.service, endpoint.Name, endpoint.Address, recorder))
 			continue
