--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -29,6 +29,8 @@
 	EndedCut Ended = "cut"
 	// EndedRefused is a refusal with a reason.
 	EndedRefused Ended = "refused"
+	// EndedTimedOut is an answer that the caller stopped waiting for.
+	EndedTimedOut Ended = "timed_out"
 	// EndedFailed is any other ending, as a broken connection.
 	EndedFailed Ended = "failed"
 )
