--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -28,8 +28,11 @@
 	// guardsOff names guards, separated by commas; the guardsoff daemon runs.
 	guardsOff   string
 	spendMicros int64
+	callMicros  int64
 	decodeStep  time.Duration
 	serviceMS   int64
+	// relayEndpoints counts the bytes to and from endpoints.
+	relayEndpoints bool
 }
 
 // zoneName names the availability zone of an index.
@@ -41,6 +44,7 @@
 	engine  *standin.Engine
 	service *standin.Service
 	server  *standin.Server
+	link    *relay
 }
 
 // site is a set of real daemons between stand-ins. Each instance sees the
@@ -58,7 +62,6 @@
 
 	mu       sync.Mutex
 	revision uint64
-	variant  int
 	// published is the newest file that any platform view was given.
 	published published
 }
@@ -137,6 +140,10 @@
 
 func (s *site) addBackEnd(b *backEnd) {
 	b.address = b.server.Address()
+	if s.cfg.relayEndpoints {
+		b.link = s.relay(b.address)
+		b.address = b.link.address()
+	}
 	s.backEnds = append(s.backEnds, b)
 }
 
@@ -231,7 +238,7 @@
 }
 
 func (s *site) declaration(revision uint64, variant int) declaration {
-	d := declaration{revision: revision, variant: variant, spendMicros: s.cfg.spendMicros}
+	d := declaration{revision: revision, variant: variant, spendMicros: s.cfg.spendMicros, callMicros: s.cfg.callMicros}
 	for _, b := range s.backEnds {
 		d.endpoints = append(d.endpoints, b.declaredEndpoint)
 	}
@@ -315,6 +322,9 @@
 		in.view.server.Close()
 	}
 	for _, b := range s.backEnds {
+		if b.link != nil {
+			b.link.close()
+		}
 		b.server.Close()
 		if b.engine != nil {
 			b.engine.Close()
--- a/internal/reducer/finish.go
+++ b/internal/reducer/finish.go
@@ -12,6 +12,7 @@
 type lengthKey struct {
 	organisation string
 	pool         string
+	tier         string
 }
 
 // Length constants.
@@ -20,13 +21,15 @@
 	lengthWeight = 0.1
 	// lengthMargin scales the average up to an expectation that few exceed.
 	lengthMargin = 1.5
+	// usualWeight is the weight of one run in a pool's usual time.
+	usualWeight = 0.05
 	// maxLengths bounds the learnt averages.
 	maxLengths = 20_000
 )
 
-// likelyOutput is what an answer of this organisation usually takes.
+// likelyOutput is what an answer of this organisation and tier usually takes.
 func (s *State) likelyOutput(q *Request) int {
-	l, ok := s.lengths[lengthKey{q.Organisation, q.Pool}]
+	l, ok := s.lengths[lengthKey{q.Organisation, q.Pool, q.Tier}]
 	if !ok {
 		return q.OutputTokens
 	}
@@ -34,7 +37,7 @@
 }
 
 func (s *State) learnLength(q *Request, output int) {
-	k := lengthKey{q.Organisation, q.Pool}
+	k := lengthKey{q.Organisation, q.Pool, q.Tier}
 	l, ok := s.lengths[k]
 	switch {
 	case ok:
@@ -121,6 +124,9 @@
 	case s.now >= r.deadline:
 		s.count(CounterWastedPrefill, string(WasteLate), int64(prefill))
 	}
+	if p := s.pools[r.req.Pool]; p != nil && res.Ended == EndedWhole {
+		p.usualSeconds += usualWeight * (res.Elapsed.Seconds() - p.usualSeconds)
+	}
 	if res.Ended == EndedWhole {
 		s.learnLength(&r.req, res.OutputTokens)
 	}
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -46,13 +46,19 @@
 	reported         bool
 }
 
-// estimateService returns the slot seconds of an entry on the pool's usual
-// endpoint: prefill, then decode at the rate of one slot of a full endpoint.
+// estimateService returns the slot seconds of an entry on the pool's mean slot:
+// prefill, then decode at the rate of one slot of a full endpoint. Unlike
+// endpoints count by their slots, since that is how often each is used.
 func (s *State) estimateService(p *pool, e *entry) float64 {
-	if len(p.owned) == 0 {
+	sum, slots := 0.0, 0
+	for _, on := range p.owned {
+		sum += classSeconds(on, e.prompt, e.output) * float64(on.slots)
+		slots += on.slots
+	}
+	if slots == 0 {
 		return defaultServiceSeconds
 	}
-	return classSeconds(p.owned[0], e.prompt, e.output) * p.serviceError
+	return sum / float64(slots) * p.serviceError
 }
 
 // classSeconds is the time that a run should take by the class's declared
@@ -302,5 +308,11 @@
 	if free > 0 && ahead == 0 {
 		return 0
 	}
-	return (ahead + running/2) / float64(slots)
+	// What arrives for higher tiers meanwhile goes first as well.
+	left := max(leastPart*float64(slots), float64(slots)-p.rateAhead(rank, s.now))
+	return (ahead + running/2) / left
 }
+
+// leastPart is the part of the slots that a tier is thought to get however
+// much arrives for the tiers above it.
+const leastPart = 0.05
