Admit by the organisation's own line

Cause: a request was refused on arrival for the whole tier's queue, however short its own organisation's line was, so that the organisation that asks for most took the tier in the proportion of its asking. Ruled out: the order of granting, which divides by share among what is queued; a sum over all organisations of a tier, which would cost a step for each. Change: the wait of a request counts of its own tier what goes before the end of its organisation's line at the shares of those that wait.

--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -290,6 +290,20 @@
 
 // waitSeconds estimates how long a new entry of that rank waits here.
 func (s *State) waitSeconds(p *pool, rank int) float64 {
+	return s.drainSeconds(p, rank, p.serviceAhead(rank))
+}
+
+// waitOf estimates how long an entry at the end of its organisation's line
+// waits here: a long line of one organisation does not lengthen the others'.
+func (s *State) waitOf(e *entry) float64 {
+	p := e.pool
+	ahead := p.serviceAhead(e.rank-1) + p.tiers[e.rank-1].serviceBefore(e.organisation) - e.service
+	return s.drainSeconds(p, e.rank, max(0, ahead))
+}
+
+// drainSeconds estimates how long the slots take for work that goes before a
+// new entry of that rank.
+func (s *State) drainSeconds(p *pool, rank int, ahead float64) float64 {
 	slots := 0
 	running := 0.0
 	free := 0
@@ -304,7 +318,6 @@
 	if slots == 0 {
 		return 10
 	}
-	ahead := p.serviceAhead(rank)
 	if free > 0 && ahead == 0 {
 		return 0
 	}
--- a/internal/reducer/queue.go
+++ b/internal/reducer/queue.go
@@ -73,6 +73,8 @@
 	// offered is the rate of arriving work, in slots, at the time ratedAt.
 	offered float64
 	ratedAt Instant
+	// shares sums the shares of the organisations that wait.
+	shares float64
 	// arrivals is in order of arrival, for taking the newest.
 	arrivals []*entry
 }
@@ -83,6 +85,9 @@
 	virtual float64
 	entries []*entry
 	index   int
+	// waiting counts what waits, service sums its slot seconds.
+	waiting int
+	service float64
 }
 
 // organisationHeap orders organisations by virtual time.
@@ -135,7 +140,13 @@
 		q = &organisationQueue{name: e.organisation, index: -1}
 		t.organisations[e.organisation] = q
 	}
+	if q.waiting > 0 {
+		t.shares -= q.share
+	}
 	q.share = share
+	t.shares += share
+	q.waiting++
+	q.service += e.service
 	if len(q.entries) == 0 {
 		q.virtual = max(q.virtual, t.virtual)
 	}
@@ -162,6 +173,7 @@
 	t := p.tiers[e.rank-1]
 	t.waiting--
 	t.service = max(0, t.service-e.service)
+	t.organisations[e.organisation].drop(e, t)
 	p.waiting--
 	delete(p.entries, e.key)
 	if t.waiting == 0 {
@@ -169,6 +181,26 @@
 	}
 }
 
+// drop takes a removed entry out of the sums.
+func (q *organisationQueue) drop(e *entry, t *tierQueue) {
+	q.waiting--
+	q.service = max(0, q.service-e.service)
+	if q.waiting == 0 {
+		q.service = 0
+		t.shares -= q.share
+	}
+}
+
+// serviceBefore sums the slot seconds of the tier that go before the end of
+// the organisation's line: of others no more than their shares while it lasts.
+func (t *tierQueue) serviceBefore(organisation string) float64 {
+	q := t.organisations[organisation]
+	if q == nil || q.share <= 0 {
+		return t.service
+	}
+	return min(t.service, q.service*t.shares/q.share)
+}
+
 // setPending marks an entry that would be shed, or one that is kept.
 func (p *pool) setPending(e *entry, why shedReason) {
 	if e.pending != keep {
@@ -182,7 +214,7 @@
 
 // reset drops lazily removed entries once nothing of the tier waits.
 func (t *tierQueue) reset() {
-	t.service = 0
+	t.service, t.shares = 0, 0
 	t.arrivals = nil
 	for _, q := range t.organisations {
 		q.entries = nil
--- a/internal/reducer/shed.go
+++ b/internal/reducer/shed.go
@@ -57,8 +57,7 @@
 // nothing of a lower tier were there.
 func (s *State) unmet(e *entry) bool {
 	left := e.deadline.Sub(s.now).Seconds()
-	ahead := s.waitSeconds(e.pool, e.rank) - e.service/float64(max(1, e.pool.slots))
-	return max(0, ahead)+e.service > left
+	return s.waitOf(e)+e.service > left
 }
 
 // tooLate reports whether a run that began now on the endpoint would end after
