Charge organisations endpoint time rather than slot time

Cause: an organisation paid its share in slot seconds. Reading a prompt holds up all slots of an endpoint and was charged for one, so that short answers to long prompts were nearly free and long answers dear. Ruled out: counting calls, which a hundredfold spread of lengths makes unfair. Change: a run is charged the time for which it would take a whole endpoint.

--- a/internal/reducer/owner.go
+++ b/internal/reducer/owner.go
@@ -138,7 +138,7 @@
 		arrived: s.now, renewed: s.now,
 		deadline: s.now.Add(time.Duration(a.GetDeadlineMs()) * time.Millisecond),
 	}
-	e.service = s.estimateService(p, e)
+	e.service, e.charge = s.estimateService(p, e), s.estimateCharge(p, e)
 	p.push(e, s.share(e.organisation, e.rank))
 	s.fillAll()
 	if !e.gone {
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -61,6 +61,29 @@
 	return sum / float64(slots) * p.serviceError
 }
 
+// estimateCharge returns the endpoint seconds of an entry on the pool's mean
+// endpoint. Reading a prompt holds up the whole endpoint, a decode step serves
+// all its slots: counted in slot seconds, long prompts would be nearly free.
+func (s *State) estimateCharge(p *pool, e *entry) float64 {
+	sum, slots := 0.0, 0
+	for _, on := range p.owned {
+		sum += endpointSeconds(on, e.prompt, e.output) * float64(on.slots)
+		slots += on.slots
+	}
+	if slots == 0 {
+		return defaultServiceSeconds
+	}
+	return sum / float64(slots)
+}
+
+func endpointSeconds(on *endpoint, prompt, output int) float64 {
+	c := on.class
+	if c == nil || c.Kind != declared.KindEngine || c.PrefillTokensPerSecond <= 0 || c.DecodeTokensPerSecond <= 0 {
+		return classSeconds(on, prompt, output) / float64(max(1, on.slots))
+	}
+	return float64(prompt)/float64(c.PrefillTokensPerSecond) + float64(output)/float64(c.DecodeTokensPerSecond)
+}
+
 // classSeconds is the time that a run should take by the class's declared
 // rates.
 func classSeconds(on *endpoint, prompt, output int) float64 {
--- a/internal/reducer/queue.go
+++ b/internal/reducer/queue.go
@@ -19,7 +19,10 @@
 	fingerprint  uint64
 	// service is the estimated time in seconds that the request occupies a
 	// slot.
-	service  float64
+	service float64
+	// charge is what the organisation pays of its share: the estimated time in
+	// seconds for which the run would take a whole endpoint.
+	charge   float64
 	arrived  Instant
 	deadline Instant
 	renewed  Instant
@@ -73,8 +76,10 @@
 	// offered is the rate of arriving work, in slots, at the time ratedAt.
 	offered float64
 	ratedAt Instant
-	// shares sums the shares of the organisations that wait.
+	// shares sums the shares of the organisations that wait, charge what
+	// they would pay.
 	shares float64
+	charge float64
 	// arrivals is in order of arrival, for taking the newest.
 	arrivals []*entry
 }
@@ -85,9 +90,9 @@
 	virtual float64
 	entries []*entry
 	index   int
-	// waiting counts what waits, service sums its slot seconds.
+	// waiting counts what waits, charge sums what it would pay.
 	waiting int
-	service float64
+	charge  float64
 }
 
 // organisationHeap orders organisations by virtual time.
@@ -146,7 +151,8 @@
 	q.share = share
 	t.shares += share
 	q.waiting++
-	q.service += e.service
+	q.charge += e.charge
+	t.charge += e.charge
 	if len(q.entries) == 0 {
 		q.virtual = max(q.virtual, t.virtual)
 	}
@@ -184,9 +190,10 @@
 // drop takes a removed entry out of the sums.
 func (q *organisationQueue) drop(e *entry, t *tierQueue) {
 	q.waiting--
-	q.service = max(0, q.service-e.service)
+	q.charge = max(0, q.charge-e.charge)
+	t.charge = max(0, t.charge-e.charge)
 	if q.waiting == 0 {
-		q.service = 0
+		q.charge = 0
 		t.shares -= q.share
 	}
 }
@@ -195,10 +202,10 @@
 // the organisation's line: of others no more than their shares while it lasts.
 func (t *tierQueue) serviceBefore(organisation string) float64 {
 	q := t.organisations[organisation]
-	if q == nil || q.share <= 0 {
+	if q == nil || q.share <= 0 || t.charge <= 0 {
 		return t.service
 	}
-	return min(t.service, q.service*t.shares/q.share)
+	return t.service * min(1, q.charge/t.charge*t.shares/q.share)
 }
 
 // setPending marks an entry that would be shed, or one that is kept.
@@ -214,7 +221,7 @@
 
 // reset drops lazily removed entries once nothing of the tier waits.
 func (t *tierQueue) reset() {
-	t.service, t.shares = 0, 0
+	t.service, t.shares, t.charge = 0, 0, 0
 	t.arrivals = nil
 	for _, q := range t.organisations {
 		q.entries = nil
@@ -256,7 +263,7 @@
 func (p *pool) take(e *entry) {
 	t := p.tiers[e.rank-1]
 	q := t.organisations[e.organisation]
-	q.virtual += e.service / q.share
+	q.virtual += e.charge / q.share
 	t.virtual = q.virtual
 	if q.index >= 0 {
 		heap.Fix(&t.ready, q.index)
