--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -61,6 +61,29 @@
 	return sum / float64(slots) * p.serviceError
 }
 
+// estimateCharge returns the endpoint seconds of an entry on the pool's mean
+// endpoint. Reading a prompt holds up the whole endpoint, a decode step serves
+// all its slots: counted in slot seconds, long prompts would be nearly free.
+func (s *State) estimateCharge(p *pool, e *entry) float64 {
+	sum, slots := 0.0, 0
+	for _, on := range p.owned {
+		sum += endpointSeconds(on, e.prompt, e.output) * float64(on.slots)
+		slots += on.slots
+	}
+	if slots == 0 {
+		return defaultServiceSeconds
+	}
+	return sum / float64(slots)
+}
+
+func endpointSeconds(on *endpoint, prompt, output int) float64 {
+	c := on.class
+	if c == nil || c.Kind != declared.KindEngine || c.PrefillTokensPerSecond <= 0 || c.DecodeTokensPerSecond <= 0 {
+		return classSeconds(on, prompt, output) / float64(max(1, on.slots))
+	}
+	return float64(prompt)/float64(c.PrefillTokensPerSecond) + float64(output)/float64(c.DecodeTokensPerSecond)
+}
+
 // classSeconds is the time that a run should take by the class's declared
 // rates.
 func classSeconds(on *endpoint, prompt, output int) float64 {
@@ -290,6 +313,20 @@
 
 // waitSeconds estimates how long a new entry of that rank waits here.
 func (s *State) waitSeconds(p *pool, rank int) float64 {
+	return s.drainSeconds(p, rank, p.serviceAhead(rank))
+}
+
+// waitOf estimates how long an entry at the end of its organisation's line
+// waits here: a long line of one organisation does not lengthen the others'.
+func (s *State) waitOf(e *entry) float64 {
+	p := e.pool
+	ahead := p.serviceAhead(e.rank-1) + p.tiers[e.rank-1].serviceBefore(e.organisation) - e.service
+	return s.drainSeconds(p, e.rank, max(0, ahead))
+}
+
+// drainSeconds estimates how long the slots take for work that goes before a
+// new entry of that rank.
+func (s *State) drainSeconds(p *pool, rank int, ahead float64) float64 {
 	slots := 0
 	running := 0.0
 	free := 0
@@ -304,7 +341,6 @@
 	if slots == 0 {
 		return 10
 	}
-	ahead := p.serviceAhead(rank)
 	if free > 0 && ahead == 0 {
 		return 0
 	}
