Parts of 64 KiB; liveness and answers hold through a shutdown

Change: the default part size, liveness after the reducer has stopped, five minutes for slow callers. Go's standard logger is silenced, since net/http writes endpoints' stray bytes to it.

--- a/cmd/balsamd/daemon.go
+++ b/cmd/balsamd/daemon.go
@@ -182,8 +182,8 @@
 const leaveTime = 2 * time.Second
 
 // lastWrites bounds how long slow callers may take to read answers that are
-// complete.
-const lastWrites = 10 * time.Second
+// complete; a caller that reads nothing is left after the idle timeout.
+const lastWrites = 5 * time.Minute
 
 func (d *daemon) addPlatform() error {
 	client, err := platform.New(platform.Options{
--- a/cmd/balsamd/main.go
+++ b/cmd/balsamd/main.go
@@ -5,6 +5,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -36,6 +38,9 @@
 		return exitSettings
 	}
 	log := logline.New(os.Stderr, *level)
+	// net/http's transport writes what an endpoint sends behind its answer to
+	// the standard logger: no answer may get into the log.
+	stdlog.SetOutput(io.Discard)
 	for _, w := range set.Warnings {
 		log.Warn("setting", "key", w.Key, "message", w.Message)
 	}
--- a/cmd/balsamd/operator.go
+++ b/cmd/balsamd/operator.go
@@ -37,7 +37,13 @@
 	return st, err
 }
 
-// live holds as long as the control goroutine answers.
+// live holds as long as the control goroutine answers, and while the last
+// answers are written out after it has stopped.
 func (d *daemon) live(ctx context.Context) error {
-	return d.loop.Query(ctx, func(*reducer.State) {})
+	select {
+	case <-d.loop.Stopped():
+		return nil
+	default:
+		return d.loop.Query(ctx, func(*reducer.State) {})
+	}
 }
--- a/internal/declared/split.go
+++ b/internal/declared/split.go
@@ -9,10 +9,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// DefaultPartBytes is the mean size of parts at which a change of one
-// organisation among 4,900 makes the fewest bytes travel: one part and the
-// manifest that lists all parts are then about equal.
-const DefaultPartBytes = 10 << 10
+// DefaultPartBytes is the mean size of parts. Parts of a tenth of it would make
+// the fewest bytes travel when one of 4,900 organisations changes; but then a
+// change of all parts would not reach 360 readers of a platform that answers
+// 2,000 reads a second within 5 s (docs/CAPACITY.md).
+const DefaultPartBytes = 64 << 10
 
 const (
 	minPartBytes = 1 << 10
