--- a/spec/check.sh
+++ b/spec/check.sh
@@ -4,10 +4,8 @@
 #
 #   check: safety FLAGS                    assertions and invalid end states
 #   check: acyclic FLAGS                   every run ends (no cycle at all)
-#   check: ltl NAME FLAGS                  a property under weak fairness
 #   deep: MODE FLAGS                       a check that only -deep runs
 #   mutation: assertion FLAGS | MEANING    must violate an assertion
-#   mutation: ltl NAME FLAGS | MEANING     must violate the property
 #
 # A truncated search is a failure. Prints a line for each run.
 # Usage: check.sh [-deep] [FILE.pml ...]
@@ -38,14 +36,9 @@
 # leaves its line in INDEX.line and its verdict in INDEX.ok or INDEX.bad.
 check_one() {
   local index=$1 file=$2 kind=${3/deep/check} mode=$4 rest=$5
-  local dir=$work/$index flags=${rest%%|*} meaning="" name="" build=(-O2 -w) run=("-m$max_depth" -w22)
+  local dir=$work/$index flags=${rest%%|*} meaning="" build=(-O2 -w) run=("-m$max_depth" -w22)
   [[ $rest == *'|'* ]] && meaning=${rest#*|}
-  if [ "$mode" = ltl ]; then
-    name=${flags%% *}
-    flags=${flags#"$name"}
-    build+=(-DNFAIR=3)
-    run+=(-a -f -N "$name")
-  elif [ "$mode" = acyclic ]; then
+  if [ "$mode" = acyclic ]; then
     build+=(-DNP -DNOCLAIM)
     run+=(-l)
   else
@@ -55,13 +48,12 @@
   cp "$file" "$dir/"
   local verdict=FAIL
   # shellcheck disable=SC2086 # flags are words
-  if (cd "$dir" && spin -a $flags "$file" >spin.out 2>&1 &&
+  if (cd "$dir" && ulimit -v 2000000 && spin -a $flags "$file" >spin.out 2>&1 &&
     gcc "${build[@]}" "-DMEMLIM=$memory_limit_mb" -o pan pan.c >gcc.out 2>&1); then
     (cd "$dir" && ./pan "${run[@]}" >pan.out 2>&1) || true
     case $kind:$mode in
       check:*) grep -q 'errors: 0$' "$dir/pan.out" && exhaustive "$dir/pan.out" && verdict=pass ;;
       mutation:assertion) grep -q '^pan:[0-9]*: assertion violated' "$dir/pan.out" && verdict=rejected ;;
-      mutation:ltl) grep -q '^pan:[0-9]*: acceptance cycle' "$dir/pan.out" && verdict=rejected ;;
     esac
   else
     cat "$dir"/spin.out "$dir"/gcc.out >"$dir/pan.out" 2>/dev/null || true
@@ -70,7 +62,7 @@
   states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$dir/pan.out" | head -1)
   depth=$(sed -n 's/.*depth reached \([0-9]*\).*/\1/p' "$dir/pan.out" | head -1)
   printf '%-11s %-9s states=%-9s depth=%-6s verdict=%-8s %s %s%s\n' "$file" "$kind" \
-    "${states:-0}" "${depth:-0}" "$verdict" "$mode" "$(echo $name $flags)" "${meaning:+ |$meaning}" >"$work/$index.line"
+    "${states:-0}" "${depth:-0}" "$verdict" "$mode" "$(echo $flags)" "${meaning:+ |$meaning}" >"$work/$index.line"
   if [ "$verdict" = FAIL ]; then
     tail -n 30 "$dir/pan.out" >"$work/$index.bad"
   fi
