Not ready with a file older than a peer's

Ruled out: the adoption, which went upwards as it should. Change: readiness waits for a file that a met peer has announced above the one in force, JoinWait at most. With the shed order's guard off, holders no longer refuse late declines, a second guard that hid the failure.

--- a/internal/reducer/adoption.go
+++ b/internal/reducer/adoption.go
@@ -47,20 +47,23 @@
 	}
 }
 
+// isAbove reports whether a peer has announced a file above the one in force.
+func (s *State) isAbove(p *peer) bool {
+	if p.revision == 0 || s.file == nil {
+		return p.revision != 0
+	}
+	if p.revision != s.file.Revision {
+		return p.revision > s.file.Revision
+	}
+	d := s.file.Digest()
+	return p.digest > string(d[:8])
+}
+
 // compareFile asks a peer for its file when that is above the one in force.
 func (s *State) compareFile(p *peer) {
-	if p.revision == 0 || s.now.Sub(s.asked) < fileAskInterval {
+	if !s.isAbove(p) || s.now.Sub(s.asked) < fileAskInterval {
 		return
 	}
-	if s.file != nil {
-		d := s.file.Digest()
-		if p.revision < s.file.Revision {
-			return
-		}
-		if p.revision == s.file.Revision && p.digest <= string(d[:8]) {
-			return
-		}
-	}
 	s.asked = s.now
 	s.send(p.id, &peerpb.Frame{Body: &peerpb.Frame_FileRequest{FileRequest: &peerpb.FileRequest{Revision: p.revision}}})
 }
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -353,7 +353,7 @@
 // been heard or could not be reached for JoinWait: only then are the tiers
 // known that its peers have closed.
 func (s *State) checkReady() {
-	ready := s.file != nil && !s.stopping && (s.ready || s.metListed())
+	ready := s.file != nil && !s.stopping && (s.ready || s.metListed() && s.hasNewest())
 	if ready != s.ready {
 		s.ready = ready
 		s.joined = s.joined || ready
@@ -362,6 +362,21 @@
 	}
 }
 
+// hasNewest reports whether no peer that was met has announced a file above
+// the one in force: a fresh instance that reads a stale platform takes its
+// peers' file before it takes callers. JoinWait bounds the wait for the reply.
+func (s *State) hasNewest() bool {
+	if s.now.Sub(s.startedAt) >= JoinWait {
+		return true
+	}
+	for _, p := range s.peerOrder {
+		if p.session && p.met && s.isAbove(p) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *State) metListed() bool {
 	if s.now.Sub(s.startedAt) >= JoinWait {
 		return true
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -469,6 +469,9 @@
 // tiers may be open again elsewhere. Nothing was told to the caller yet, so
 // asking again is right.
 func (s *State) lateDecline(from Incarnation, r *request, reason refusal.Reason, d *peerpb.Decline) bool {
+	if s.cfg.Guards.NoShedOrder {
+		return false
+	}
 	capacity := reason == refusal.Shed || reason == refusal.DeadlineUnmet
 	return capacity && from != s.cfg.Incarnation && r.rank < s.lowestRank() && s.echoLease(d.GetEcho()) == 0
 }
