balsamctl explain: why a request was placed or refused

Cause: an operator could see that a request was refused, not what led to it. Change: the reducer's ring of recent decisions also holds whom a request asked, what was granted and what was retried; the operator interface serves it by the request's name, and demo.sh shows it.

--- a/demo.sh
+++ b/demo.sh
@@ -32,3 +32,6 @@
 fi
 echo "== a booking, which may not be repeated: a ticket is taken first"
 "$dir/balsamctl" send -tries 20 -route "POST /bookings" '{"chair": "ladder-back", "weaver": 7}'
+echo "== why the instance decided so"
+request=$("$dir/balsamctl" send -tries 20 -model repair-desk "And a plain one?" | sed -n 's/.*request=//p')
+"$dir/balsamctl" explain 127.0.0.1:21203 "$request"
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -38,6 +38,9 @@
 	Counters *Counters
 	// Status returns what /status shows, as JSON.
 	Status func(ctx context.Context) (any, error)
+	// Explain returns what /explain shows of the request named in its query, as
+	// JSON, or an error if the name cannot be understood.
+	Explain func(ctx context.Context, request string) (any, error)
 	// Live returns an error if the process cannot do its work and should be
 	// restarted; nil stands for one that always can. It gives up when ctx ends.
 	Live func(ctx context.Context) error
@@ -67,6 +70,7 @@
 	s.mux.HandleFunc("GET /livez", s.livez)
 	s.mux.HandleFunc("GET /readyz", s.readyz)
 	s.mux.HandleFunc("GET /status", s.limit(s.status))
+	s.mux.HandleFunc("GET /explain", s.limit(s.explain))
 	s.mux.HandleFunc("GET /debug/vars", s.limit(s.vars))
 	return s
 }
@@ -183,7 +187,12 @@
 		http.Error(w, "status is not available", http.StatusServiceUnavailable)
 		return
 	}
-	// Whole or not at all: an error must not follow half an answer.
+	s.show(w, v)
+}
+
+// show writes a value whole or not at all: an error must not follow half an
+// answer.
+func (s *Server) show(w http.ResponseWriter, v any) {
 	var body bytes.Buffer
 	if err := json.NewEncoder(&body).Encode(v); err != nil {
 		s.cfg.Log.Error("status_failed", "err", err)
@@ -193,6 +202,19 @@
 	writeJSON(w, body.Bytes())
 }
 
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	if s.cfg.Explain == nil {
+		http.NotFound(w, r)
+		return
+	}
+	v, err := s.cfg.Explain(r.Context(), r.URL.Query().Get("request"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.show(w, v)
+}
+
 func (s *Server) vars(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, append([]byte(s.cfg.Counters.vars.String()), '\n'))
 }
--- a/internal/reducer/ask.go
+++ b/internal/reducer/ask.go
@@ -18,9 +18,12 @@
 	if owner == 0 {
 		return
 	}
+	name := s.cfg.Instance
 	if p := s.peers[owner]; p != nil {
 		p.sent[r.req.Pool]++
+		name = p.name
 	}
+	s.recent.add(s.now, r.id, "asked", name)
 	// After a pause the round is as old as the pause: a grant of it would be
 	// useless when it comes, and asking again would never end.
 	if s.now.Sub(s.roundTimes[s.round%roundMemory]) >= RenewInterval {
--- a/internal/reducer/decision.go
+++ b/internal/reducer/decision.go
@@ -5,10 +5,12 @@
 
 // Decision is one thing that was decided about a request.
 type Decision struct {
-	At      Instant
-	Request RequestID
-	What    string
-	Detail  string
+	// At is on the instance's boot-time clock, in nanoseconds.
+	At      Instant   `json:"at_ns"`
+	Request RequestID `json:"request"`
+	What    string    `json:"what"`
+	// Detail is an endpoint, an instance or a reason.
+	Detail string `json:"detail"`
 }
 
 // decisionLog keeps the most recent decisions in a ring.
--- a/internal/reducer/dispatch.go
+++ b/internal/reducer/dispatch.go
@@ -25,6 +25,7 @@
 		s.release(from, RequestID(g.GetRequest()), g.GetEndpoint(), &peerpb.Release{})
 		return
 	}
+	s.recent.add(s.now, r.id, "granted", e.name)
 	r.phase = connecting
 	r.endpoint = e.name
 	r.leaseEnds = lease
@@ -68,6 +69,7 @@
 // retry takes a step before dispatch again. Nothing has reached an endpoint.
 func (s *State) retry(r *request, why RetryReason, m *peerpb.Release) {
 	s.count(CounterRetries, string(why), 1)
+	s.recent.add(s.now, r.id, "retried", string(why))
 	endpoint := r.endpoint
 	r.phase, r.endpoint = asking, ""
 	r.retries++
