A suspect that waits to run alone holds up nobody behind it

Cause: two contents under suspicion of crashing an endpoint may not run beside each other; the second, at the head of its queue, kept every free slot from the innocent requests behind it. Ruled out: a queue of their own for suspects, whose order against the tiers would have to be told apart again. Change: when the head is such a suspect, the next entry that is none is placed. Before: TestSuspectHoldsUpNobody grants one of the two that may run.

--- /dev/null
+++ b/internal/reducer/crash_test.go
@@ -0,0 +1,29 @@
+package reducer
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestSuspectHoldsUpNobody lets two suspects and then an innocent request come
+// to one endpoint with two slots: the second suspect waits, the innocent runs.
+func TestSuspectHoldsUpNobody(t *testing.T) {
+	s, _ := loaded(1, 0)
+	for id := range RequestID(2) {
+		s.Step(4, DispatchDone{Request: id + 1, Result: Result{}})
+	}
+	s.blame(501)
+	s.blame(502)
+	var granted []RequestID
+	for i, f := range []uint64{501, 502, 9} {
+		q := benchRequest(0)
+		q.Fingerprint = f
+		for _, e := range s.Step(5, RequestArrived{Request: q, Waiter: Waiter(100 + i)}) {
+			if c, ok := e.(Connect); ok {
+				granted = append(granted, c.Request)
+			}
+		}
+	}
+	must.Eq(t, []RequestID{3, 5}, granted)
+}
--- a/internal/reducer/owner.go
+++ b/internal/reducer/owner.go
@@ -229,13 +229,27 @@
 		if e == nil || best != nil && (e.rank > best.rank || e.rank == best.rank && e.arrived >= best.arrived) {
 			continue
 		}
-		if on := s.place(p, e); on != nil {
+		on := s.place(p, e)
+		if on == nil && s.suspected(e.fingerprint) {
+			e, on = s.placeInnocent(p)
+		}
+		if on != nil {
 			best, bestOn = e, on
 		}
 	}
 	return best, bestOn
 }
 
+// placeInnocent passes by suspects at the head of a pool's queue: while one
+// waits until it can run beside no other, it holds up nobody behind it.
+func (s *State) placeInnocent(p *pool) (*entry, *endpoint) {
+	e := p.first(func(e *entry) bool { return !s.suspected(e.fingerprint) })
+	if e == nil {
+		return nil, nil
+	}
+	return e, s.place(p, e)
+}
+
 func (s *State) grantSlot(e *entry, on *endpoint) {
 	e.pool.take(e)
 	on.addGrant(e.key, &grant{
--- a/internal/reducer/queue.go
+++ b/internal/reducer/queue.go
@@ -100,10 +100,15 @@
 
 func (h organisationHeap) Len() int { return len(h) }
 func (h organisationHeap) Less(i, j int) bool {
-	if h[i].virtual != h[j].virtual {
-		return h[i].virtual < h[j].virtual
+	return h.before(h[i], h[j])
+}
+
+// before says which of two organisations is next.
+func (organisationHeap) before(a, b *organisationQueue) bool {
+	if a.virtual != b.virtual {
+		return a.virtual < b.virtual
 	}
-	return h[i].name < h[j].name
+	return a.name < b.name
 }
 func (h organisationHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
@@ -259,7 +264,32 @@
 	return nil
 }
 
-// take removes the entry that head returned and charges its organisation.
+// first returns the next entry of the pool that passes, or nil. It looks at
+// what waits one by one.
+func (p *pool) first(passes func(*entry) bool) *entry {
+	for _, t := range p.tiers {
+		var best *entry
+		var from *organisationQueue
+		for _, q := range t.ready {
+			if from != nil && !t.ready.before(q, from) {
+				continue
+			}
+			for _, e := range q.entries {
+				if !e.gone && passes(e) {
+					best, from = e, q
+					break
+				}
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+// take removes an entry that head or first returned and charges its
+// organisation.
 func (p *pool) take(e *entry) {
 	t := p.tiers[e.rank-1]
 	q := t.organisations[e.organisation]
