The graceful stop's guard also governs the last writes

Cause: with five minutes for the last answers, the listener's own shutdown carried running answers to their end even without the reducer's guard, so the guard-off half of the pair showed nothing (a second guard, as for the shed order). Change: without the guard the daemon ends at once.

--- a/cmd/balsamd/daemon.go
+++ b/cmd/balsamd/daemon.go
@@ -167,6 +167,9 @@
 	d.loop.Post(reducer.StopRequested{})
 	noticed := time.After(leaveTime)
 	<-d.loop.Stopped()
+	if guards().NoGracefulStop {
+		return
+	}
 	<-noticed
 	ctx, cancel := context.WithTimeout(context.Background(), lastWrites)
 	defer cancel()
