A lease that ran out before the first byte is no failure of the endpoint

Cause: reading: traffic reported a dispatch that was withheld for its lease as one that could not be sent, so the owner took the endpoint for unreachable for 2 s. The setting kept_answer_ms was read and not applied. Two labels of closed lists, endpoint_gone and repeated, were never counted. Change: a result of its own for withheld dispatches; the setting reaches the reducer; the labels are gone. Conclusion: found by reading; the drawn schedules now use the new result.

--- a/cmd/balsamd/daemon.go
+++ b/cmd/balsamd/daemon.go
@@ -55,6 +55,7 @@
 		Incarnation:      reducer.Incarnation(d.incarnation),
 		Instance:         set.Instance,
 		AvailabilityZone: set.AvailabilityZone,
+		KeptLife:         set.Limits.KeptAnswer(),
 		Guards:           guards(),
 	}, reducer.Instant(boottime.Now())))
 	d.counters = operator.NewCounters(counterDefinitions()...)
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -161,20 +161,19 @@
 	RetryLeaseExpired  RetryReason = "lease_expired"
 	RetryOwnerGone     RetryReason = "owner_gone"
 	RetryOwnerDeclined RetryReason = "owner_declined"
-	RetryEndpointGone  RetryReason = "endpoint_gone"
 )
 
 // RetryReasons returns the closed list of retry reasons.
 func RetryReasons() []RetryReason {
 	return []RetryReason{
 		RetryConnectFailed, RetryNotSent, RetryLeaseExpired,
-		RetryOwnerGone, RetryOwnerDeclined, RetryEndpointGone,
+		RetryOwnerGone, RetryOwnerDeclined,
 	}
 }
 
 // WasteReasons returns the closed list of reasons for wasted prefill.
 func WasteReasons() []WasteReason {
-	return []WasteReason{WasteCancelled, WasteBroken, WasteLate, WasteRepeated}
+	return []WasteReason{WasteCancelled, WasteBroken, WasteLate}
 }
 
 // WasteReason names why paid prefill reached nobody.
@@ -185,5 +184,4 @@
 	WasteCancelled WasteReason = "cancelled"
 	WasteBroken    WasteReason = "broken"
 	WasteLate      WasteReason = "late"
-	WasteRepeated  WasteReason = "repeated"
 )
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -180,6 +180,9 @@
 	EndedWhole Ended = iota
 	// EndedNotSent means that no byte reached the endpoint.
 	EndedNotSent
+	// EndedWithheld means that no byte was sent because the slot's lease had
+	// run out.
+	EndedWithheld
 	// EndedRejected is a complete error answer of the endpoint.
 	EndedRejected
 	// EndedBroken means that the connection failed after the first byte was
--- a/internal/reducer/finish.go
+++ b/internal/reducer/finish.go
@@ -58,6 +58,10 @@
 		s.retry(r, RetryNotSent, &peerpb.Release{Failed: true})
 		return
 	}
+	if res.Ended == EndedWithheld {
+		s.retry(r, RetryLeaseExpired, &peerpb.Release{})
+		return
+	}
 	s.release(r.owner, r.id, r.endpoint, &peerpb.Release{
 		Dispatched:   true,
 		PromptTokens: uint32(res.PromptTokens), CachedTokens: uint32(res.CachedTokens),
--- a/internal/reducer/record.go
+++ b/internal/reducer/record.go
@@ -37,7 +37,7 @@
 		fingerprint: r.req.Fingerprint,
 		until:       s.now.Add(RecordLife),
 		kept:        kept,
-		keptUntil:   s.now.Add(KeptLife),
+		keptUntil:   s.now.Add(s.cfg.KeptLife),
 	}
 	s.recordAge = append(s.recordAge, r.id)
 	if kept {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -37,7 +37,8 @@
 	// RecordLife is how long the end of a request is remembered. It exceeds
 	// TicketLife, so that no ticket outlives the record of its use.
 	RecordLife = TicketLife + time.Minute
-	// KeptLife is how long a whole answer is kept for re-sends.
+	// KeptLife is how long a whole answer is kept for re-sends, unless the
+	// settings say otherwise.
 	KeptLife = time.Minute
 	// CancelGrace is how long a run goes on after its last caller left.
 	CancelGrace = 2 * time.Second
@@ -73,6 +74,9 @@
 	Incarnation      Incarnation
 	Instance         string
 	AvailabilityZone string
+	// KeptLife is how long a whole answer is kept for re-sends; zero means
+	// KeptLife.
+	KeptLife time.Duration
 	// Policy chooses among endpoints; the zero value is the product's.
 	Policy Policy
 	// Guards may switch single guards off, so that a test can show what each
@@ -166,6 +170,9 @@
 
 // New returns the state of a process that has just started.
 func New(cfg Config, now Instant) *State {
+	if cfg.KeptLife == 0 {
+		cfg.KeptLife = KeptLife
+	}
 	s := &State{
 		cfg:       cfg,
 		now:       now,
--- a/internal/reducer/zone_test.go
+++ b/internal/reducer/zone_test.go
@@ -352,7 +352,7 @@
 			return
 		}
 		if z.now >= e.NotAfter && !z.guards.NoLeaseCheck {
-			m.step(DispatchDone{Request: e.Request, Result: Result{Ended: EndedNotSent}})
+			m.step(DispatchDone{Request: e.Request, Result: Result{Ended: EndedWithheld}})
 			return
 		}
 		if z.now >= e.NotAfter {
--- a/internal/traffic/run.go
+++ b/internal/traffic/run.go
@@ -126,6 +126,9 @@
 }
 
 func (r *run) sendFailed(err error, started time.Time) reducer.Result {
+	if errors.Is(err, endpoint.ErrWithheld) {
+		return reducer.Result{Ended: reducer.EndedWithheld}
+	}
 	var se *endpoint.SendError
 	if errors.As(err, &se) && !se.Sent {
 		return reducer.Result{Ended: reducer.EndedNotSent}
