A taken-up answer in one piece does not carry the engine's length

Ruled out: the take-up itself; streamed ones were whole. Change: the length is dropped, and the request is named in its header. Before: TestRunOfAnotherInstanceIsTakenUp with an answer in one piece: unexpected EOF. After: whole.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -77,7 +77,12 @@
 	if id == 0 {
 		return ""
 	}
-	return fmt.Sprintf("%016x-%x", h.cfg.Incarnation, uint64(id))
+	return requestName(h.cfg.Incarnation, uint64(id))
+}
+
+// requestName is how callers, operators and logs name a request.
+func requestName(incarnation, id uint64) string {
+	return fmt.Sprintf("%016x-%x", incarnation, id)
 }
 
 // answer waits for the verdict on a submitted request and writes what comes.
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -72,6 +72,10 @@
 	}
 	copyHead(w.Header(), taken.Header())
 	w.Header().Del("X-Request-Id")
+	// The length is that of the engine's events, which are not passed on as
+	// they came.
+	w.Header().Del("Content-Length")
+	w.Header().Set(HeaderRequest, requestName(t.Incarnation, t.Sequence))
 	w.Header().Set(HeaderInstance, h.cfg.Instance)
 	w.Header().Set(HeaderTicket, k.ticket)
 	if k.stream {
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -336,6 +336,21 @@
 	must.NoError(t, err)
 	must.NoError(t, resp.Body.Close())
 
+	// The run's answer in one piece: the engine's own length is not its length.
+	whole := fmt.Sprintf(question, false)
+	_, digest = identify("one", http.MethodPost, chatPath, []byte(whole))
+	second, err := http.NewRequest(http.MethodPost, "http://"+r.engines+chatPath, strings.NewReader(body))
+	must.NoError(t, err)
+	second.Header.Set("X-Request-Id", traffic.WireID(9, 2, digest))
+	resp, err = http.DefaultTransport.RoundTrip(second)
+	must.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	resp, collected := r.send(t, http.MethodPost, chatPath, "key-one", whole, header{HeaderTicket: gone.Mint(2, 1<<62)})
+	must.StrContains(t, collected, "chat.completion")
+	must.EqOp(t, fmt.Sprintf("%016x-%x", 9, 2), resp.Header.Get(HeaderRequest))
+
 	with := header{HeaderTicket: gone.Mint(1, 1<<62)}
 	_, text := r.send(t, http.MethodPost, chatPath, "key-one", body, with)
 	must.EqOp(t, string(answer), text)
@@ -343,7 +358,7 @@
 	must.EqOp(t, refusal.OutcomeUnknown, refusalOf(t, text).Reason)
 	_, text = r.send(t, http.MethodPost, chatPath, "key-two", body, with)
 	must.EqOp(t, refusal.OutcomeUnknown, refusalOf(t, text).Reason)
-	must.EqOp(t, 1, r.recorder.Dispatches("u1"))
+	must.EqOp(t, 2, r.recorder.Dispatches("u1"))
 }
 
 func TestLogHoldsNoSecretsAndOneLineAnEvent(t *testing.T) {
