--- a/internal/reducer/zone_rapid_test.go
+++ b/internal/reducer/zone_rapid_test.go
@@ -1,27 +1,17 @@
 package reducer
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/rapidseed"
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed of drawn tests unless the command line names one.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "60"} {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
+	rapidseed.Fix("60")
 	os.Exit(m.Run())
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -423,57 +423,6 @@
 	Models  []string `json:"models"`
 }
 
-func (e *Engine) serveSetOrder(w http.ResponseWriter, r *http.Request) {
-	var o order
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&o); err != nil {
-		http.Error(w, "the body is no order", http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.settings.ChecksFencing && o.Fencing < e.boot.fencing {
-		http.Error(w, "the fencing number is old", http.StatusConflict)
-		return
-	}
-	e.boot.fencing = o.Fencing
-	e.boot.models = o.Models
-	writeJSON(w, o)
-}
-
-func (e *Engine) serveOrder(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	o := order{Fencing: e.boot.fencing, Models: slices.Clone(e.boot.models)}
-	e.mu.Unlock()
-	writeJSON(w, o)
-}
-
-func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	if err != nil {
-		http.Error(w, "the sequence is no number", http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	lag := time.Duration(e.faults.CacheEventLagMS) * time.Millisecond
-	events := e.boot.cache.eventsAfter(after, time.Now().Add(-lag))
-	kept := events[:0]
-	for _, event := range events {
-		if !lostEvent(e.settings.Seed, event.Sequence, e.faults.CacheEventLossPercent) {
-			kept = append(kept, event)
-		}
-	}
-	e.mu.Unlock()
-	writeJSON(w, kept)
-}
-
-// lostEvent says whether an event is never told. It depends on the seed and
-// the sequence only, so that asking again does not bring a lost event back.
-func lostEvent(seed, sequence uint64, percent float64) bool {
-	return rand.New(rand.NewPCG(seed, sequence)).Float64()*100 < percent
-}
-
 // Crash ends this boot of the engine: all connections drop, all state is
 // forgotten and connections are refused for the restart time.
 func (e *Engine) Crash() {
