peer: the dying-peer test waits for both sides; a dial that failed does not block the next

Cause: the accepting side is told of a session before the dialling side. The test stopped the accepting peer in between, so the dialling side never had a peer to lose (handshake_failed, session shutdown, in both logs seen). Ruled out: a fault of the product. The reducer asks for ConnectPeer at every heartbeat while there is no session, and the new test shows that an attempt that died during the handshake leaves the address free for the next one.

--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -121,7 +121,10 @@
 func TestDyingPeerIsReportedAndComesBackAsAnother(t *testing.T) {
 	a, b := start(t, 1, nil), start(t, 2, nil)
 	a.Connect(b.address)
+	// The accepting side is told first: without the wait for the other one,
+	// stop could end the handshake instead of the session.
 	b.AwaitTold(t, "up 1 instance-1")
+	a.AwaitTold(t, "up 2 instance-2")
 	b.stop()
 	a.AwaitTold(t, "up 2 instance-2", "down 2")
 	b.AwaitTold(t, "up 1 instance-1", "down 1")
@@ -134,6 +137,30 @@
 	again.AwaitTold(t, "up 1 instance-1")
 }
 
+// A peer that dies during the handshake was never up. The failed attempt must
+// not stand in the way of the next Connect to the same address.
+func TestPeerThatDiesDuringTheHandshakeIsDialledAgain(t *testing.T) {
+	dying, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := dying.Addr().String()
+	a := start(t, 1, nil)
+	a.Connect(address)
+	conn, err := dying.Accept()
+	must.NoError(t, err)
+	must.NoError(t, conn.Close())
+	must.NoError(t, dying.Close())
+	eventually(t, func() bool {
+		a.Transport.mu.Lock()
+		defer a.Transport.mu.Unlock()
+		return !a.dials[address]
+	})
+	must.SliceEmpty(t, a.Told())
+	must.Eq(t, 0, a.Stats().Sessions)
+	start(t, 2, func(c *Config) { c.ListenAddress = address })
+	a.Connect(address)
+	a.AwaitTold(t, "up 2 instance-2")
+}
+
 func TestCloseEndsTheSessionAndConnectOpensAnother(t *testing.T) {
 	a, b := start(t, 1, nil), start(t, 2, nil)
 	for range 3 {
