Routed traffic: the whole path on the users' platform, thin

Cause: the product had no way to serve requests that a platform routes to it by host, prefix and key. Built: routing table, directory watcher, scheduler (one state machine: queues by rank, placement by load, shared quotas and retry budget, membership by reports from seeds), gossip over UDP, gateway, settings, an asynchronous log, and the adapter in platform/. balsamd -routed wires them.

--- a/cmd/balsamd/main.go
+++ b/cmd/balsamd/main.go
@@ -27,11 +27,15 @@
 func run() int {
 	path := flag.String("settings", "", "`file` with the instance's settings (TOML)")
 	level := flag.String("log-level", "info", "least `level` that is logged: debug, info, warn or error")
+	routed := flag.Bool("routed", false, "serve routed traffic as the platform's configuration declares it")
 	flag.Parse()
 	if *path == "" || flag.NArg() > 0 || !logline.ValidLevel(*level) {
 		flag.Usage()
 		return exitSettings
 	}
+	if *routed {
+		return runRouted(*path, *level)
+	}
 	set, err := settings.Load(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "balsamd:", err)
@@ -57,3 +61,25 @@
 	}
 	return exitOK
 }
+
+// runRouted serves routed traffic until SIGTERM.
+func runRouted(path, level string) int {
+	set, err := settings.LoadRouted(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "balsamd:", err)
+		return exitSettings
+	}
+	out := logline.NewAsyncWriter(os.Stdout)
+	defer out.Flush()
+	log := logline.New(out, level)
+	// net/http's transport writes what an endpoint sends behind its answer to
+	// the standard logger: no answer may get into the log.
+	stdlog.SetOutput(io.Discard)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := newRoutedDaemon(path, set, log).run(ctx); err != nil {
+		log.Error("failed", "error", err.Error())
+		return exitFailed
+	}
+	return exitOK
+}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -43,6 +43,14 @@
 	MaxHeaderBytes int64
 	// MaxEventBytes bounds one server-sent event.
 	MaxEventBytes int
+	// RequestIDHeader names the request on both ways of an exchange.
+	RequestIDHeader string
+	// AcceptClose takes an answer as whole whose end only an orderly close of
+	// the connection tells.
+	AcceptClose bool
+	// SilenceTimeout, where set, ends connections whose peer acknowledges
+	// nothing for that long, whether bytes are under way or not.
+	SilenceTimeout time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -52,6 +60,7 @@
 	setDefault(&c.IdleTotal, DefaultIdleTotal)
 	setDefault(&c.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&c.MaxEventBytes, DefaultMaxEventBytes)
+	setDefault(&c.RequestIDHeader, HeaderRequestID)
 	return c
 }
 
@@ -82,7 +91,7 @@
 	config = config.withDefaults()
 	return &Client{
 		config: config,
-		dialer: net.Dialer{Timeout: config.ConnectTimeout},
+		dialer: newDialer(config),
 		idle:   make(map[string][]*link),
 	}
 }
@@ -161,7 +170,7 @@
 	}
 	c.idle[l.address] = append(c.idle[l.address], l)
 	c.count++
-	l.expiry = time.AfterFunc(c.config.IdleTimeout, func() { c.expire(l) })
+	l.expiry = time.AfterFunc(c.idleTimeout(l), func() { c.expire(l) })
 	c.mu.Unlock()
 }
 
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -71,10 +71,13 @@
 type Call struct {
 	Method string
 	// Path begins with a slash and may carry a query.
-	Path   string
+	Path string
+	// Host is sent as the Host header; empty means the endpoint's address.
+	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is sent as X-Request-Id; an answer that names another is refused.
+	// ID is sent in Config.RequestIDHeader; an answer that names another is
+	// refused.
 	ID string
 	// Guard, where set, is called once, immediately before the first byte is
 	// given to the kernel. Where it returns false no byte leaves, and Send
@@ -120,7 +123,7 @@
 	if !c.used.CompareAndSwap(false, true) {
 		return nil, &SendError{Err: ErrUsed}
 	}
-	request, err := newRequest(ctx, c.link.address, call)
+	request, err := newRequest(ctx, c.link.address, c.client.config.RequestIDHeader, call)
 	if err != nil {
 		c.client.put(c.link)
 		return nil, &SendError{Err: err}
@@ -138,18 +141,18 @@
 		}
 		return nil, &SendError{Sent: sent, Err: err}
 	}
-	if err := checkResponse(response, call.ID); err != nil {
+	if err := checkResponse(response, c.client.config.RequestIDHeader, call.ID); err != nil {
 		c.link.fail()
 		return nil, &SendError{Sent: true, Err: err}
 	}
 	return c.answer(response), nil
 }
 
-func checkResponse(response *http.Response, id string) error {
+func checkResponse(response *http.Response, idHeader, id string) error {
 	if response.StatusCode < http.StatusOK {
 		return ErrProtocol
 	}
-	for _, echoed := range response.Header[HeaderRequestID] {
+	for _, echoed := range response.Header[idHeader] {
 		if id != "" && echoed != id {
 			return ErrCrossed
 		}
@@ -158,13 +161,14 @@
 }
 
 func (c *Conn) answer(response *http.Response) *Answer {
+	c.link.keepAlive = keepAliveTimeout(response.Header)
 	stripHopByHop(response.Header)
 	body := &answerBody{
 		client:      c.client,
 		link:        c.link,
 		body:        response.Body,
 		keep:        !response.Close,
-		undelimited: isUndelimited(response),
+		undelimited: isUndelimited(response) && !c.client.config.AcceptClose,
 	}
 	if response.Body == http.NoBody {
 		body.end()
@@ -182,7 +186,7 @@
 	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
-func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
+func newRequest(ctx context.Context, address, idHeader string, call Call) (*http.Request, error) {
 	if !strings.HasPrefix(call.Path, "/") || call.Method == http.MethodConnect {
 		return nil, ErrBadCall
 	}
@@ -192,11 +196,15 @@
 	}
 	target.Scheme = "http"
 	target.Host = address
+	host := call.Host
+	if host == "" {
+		host = address
+	}
 	request := &http.Request{
 		Method: call.Method,
 		URL:    target,
-		Host:   address,
-		Header: requestHeader(call),
+		Host:   host,
+		Header: requestHeader(call, idHeader),
 	}
 	// GetBody stays nil: the library must be unable to send the body again.
 	if len(call.Body) > 0 {
@@ -214,6 +222,9 @@
 	dialed    atomic.Bool
 	// expiry discards the link while it is unused; it is set by put.
 	expiry *time.Timer
+	// keepAlive is how long the endpoint says that it keeps the connection
+	// open; zero if it says nothing.
+	keepAlive time.Duration
 }
 
 func newLink(c *Client, address string, raw net.Conn) *link {
--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"io"
+)
+
+// copyBytes is the size of the buffer through which long answers pass.
+const copyBytes = 32 << 10
+
+// readUpTo reads a body of at most limit bytes. ended is false, without an
+// error, where the body goes on.
+func readUpTo(body io.Reader, limit int) (data []byte, ended bool, err error) {
+	data = make([]byte, 0, 1024)
+	for {
+		if len(data) == cap(data) {
+			data = append(data, 0)[:len(data)]
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err == io.EOF {
+			return data, true, nil
+		}
+		if err != nil {
+			return data, false, err
+		}
+		if len(data) >= limit {
+			return data, false, nil
+		}
+	}
+}
+
+func copyBuffered(w io.Writer, r io.Reader) (int64, error) {
+	return io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{r}, make([]byte, copyBytes))
+}
--- /dev/null
+++ b/internal/gossip/codec.go
@@ -0,0 +1,63 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/gossip/gossippb"
+	"github.com/balsamstair/balsamstair/internal/scheduler"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// encode returns the datagram of a report.
+func encode(r scheduler.Report) ([]byte, error) {
+	m := &gossippb.Report{
+		Incarnation: r.Incarnation,
+		Sequence:    r.Sequence,
+		Address:     r.Address,
+		AgeMs:       uint64(r.Age.Milliseconds()),
+		Leaving:     r.Leaving,
+		Version:     r.Version,
+		Members:     r.Members,
+	}
+	for _, u := range r.Usage {
+		m.Usage = append(m.Usage, &gossippb.Usage{Organisation: u.Organisation, Used: u.Used, Level: u.Level})
+	}
+	for _, l := range r.Loads {
+		m.Loads = append(m.Loads, &gossippb.EndpointLoad{Endpoint: l.Endpoint, Running: uint32(l.Running)})
+	}
+	for _, c := range r.Crashes {
+		m.Crashes = append(m.Crashes, &gossippb.Crash{Fingerprint: c.Fingerprint, Count: uint32(c.Count)})
+	}
+	return proto.Marshal(m)
+}
+
+// decode reads a datagram. It refuses one without a sender.
+func decode(datagram []byte) (scheduler.Report, error) {
+	m := new(gossippb.Report)
+	if err := proto.Unmarshal(datagram, m); err != nil {
+		return scheduler.Report{}, errors.Wrap(err, "gossip: datagram")
+	}
+	if m.GetIncarnation() == 0 || m.GetAddress() == "" {
+		return scheduler.Report{}, errors.New("gossip: report names no sender")
+	}
+	r := scheduler.Report{
+		Incarnation: m.GetIncarnation(),
+		Sequence:    m.GetSequence(),
+		Address:     m.GetAddress(),
+		Age:         time.Duration(m.GetAgeMs()) * time.Millisecond,
+		Leaving:     m.GetLeaving(),
+		Version:     m.GetVersion(),
+		Members:     m.GetMembers(),
+	}
+	for _, u := range m.GetUsage() {
+		r.Usage = append(r.Usage, scheduler.Usage{Organisation: u.GetOrganisation(), Used: u.GetUsed(), Level: u.GetLevel()})
+	}
+	for _, l := range m.GetLoads() {
+		r.Loads = append(r.Loads, scheduler.EndpointLoad{Endpoint: l.GetEndpoint(), Running: int(l.GetRunning())})
+	}
+	for _, c := range m.GetCrashes() {
+		r.Crashes = append(r.Crashes, scheduler.Crash{Fingerprint: c.GetFingerprint(), Count: int(c.GetCount())})
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/gossip/transport_test.go
@@ -0,0 +1,66 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/logline"
+	"github.com/balsamstair/balsamstair/internal/scheduler"
+	"github.com/shoenig/test/must"
+)
+
+func report() scheduler.Report {
+	return scheduler.Report{
+		Incarnation: 7, Sequence: 3, Address: "127.0.0.1:9", Age: 1500 * time.Millisecond, Leaving: true, Version: 12,
+		Members: []string{"127.0.0.1:8"},
+		Usage:   []scheduler.Usage{{Organisation: "org", Used: 12.5, Level: -3}},
+		Loads:   []scheduler.EndpointLoad{{Endpoint: "e", Running: 4}},
+		Crashes: []scheduler.Crash{{Fingerprint: 99, Count: 2}},
+	}
+}
+
+func TestReportSurvivesTheDatagram(t *testing.T) {
+	datagram, err := encode(report())
+	must.NoError(t, err)
+	got, err := decode(datagram)
+	must.NoError(t, err)
+	must.Eq(t, report(), got)
+}
+
+func TestDatagramsWithoutASenderAreRefused(t *testing.T) {
+	for _, bad := range []string{"", "\xff\xff\xff", "not a report"} {
+		_, err := decode([]byte(bad))
+		must.Error(t, err)
+	}
+}
+
+func TestReportsReachTheOtherInstancePastStrayDatagrams(t *testing.T) {
+	got := make(chan scheduler.Report, 1)
+	receiver := New(Config{Address: "127.0.0.1:0", Received: func(r scheduler.Report) { got <- r }, Log: logline.Discard()})
+	must.NoError(t, receiver.Listen())
+	address := receiver.conn.Load().LocalAddr().String()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- receiver.Serve(ctx) }()
+
+	stray, err := net.Dial("udp4", address)
+	must.NoError(t, err)
+	defer stray.Close()
+	_, err = stray.Write([]byte("stray"))
+	must.NoError(t, err)
+
+	sender := New(Config{Address: "127.0.0.1:0", Log: logline.Discard()})
+	must.NoError(t, sender.Listen())
+	sender.Send([]string{"not an address", address}, report())
+	must.Eq(t, report(), <-got)
+	must.Eq(t, 1, receiver.badDatagrams.Load())
+	must.Eq(t, 1, sender.sendFailures.Load())
+	cancel()
+	must.ErrorIs(t, <-done, context.Canceled)
+}
+
+func TestHostNamesAreNoAddresses(t *testing.T) {
+	must.Error(t, New(Config{Address: "localhost:1", Log: logline.Discard()}).Listen())
+}
--- /dev/null
+++ b/internal/routing/table_test.go
@@ -0,0 +1,64 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func table() *Table {
+	return NewTable(Config{
+		Version: 3,
+		Routes: []Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/"},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+			{Name: "other", Host: "b.example", Prefix: "/x/"},
+		},
+		Organisations: []Organisation{{Name: "org", Keys: []string{"k1", "k2"}}},
+	})
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"A.Example:8080", "/x/y/", "long"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"a.example", "/X/1", ""},
+		{"a.example", "/q/../x/1", ""},
+		{"a.example", "//x/1", ""},
+		{"c.example", "/x/1", ""},
+	} {
+		got := ""
+		if r := table().Route(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		must.Eq(t, c.want, got, must.Sprint(c))
+	}
+}
+
+func TestKeysNameTheirOrganisation(t *testing.T) {
+	must.Eq(t, "org", table().Organisation("k2").Name)
+	must.Nil(t, table().Organisation("k3"))
+	must.Nil(t, table().Organisation(""))
+}
+
+func TestSplitFollowsItsWeights(t *testing.T) {
+	r := Route{Split: []Share{{"one", 90}, {"none", 0}, {"two", 10}}}
+	got := map[string]int{}
+	for draw := range uint64(1000) {
+		got[r.Pick(draw)]++
+	}
+	must.Eq(t, map[string]int{"one": 900, "two": 100}, got)
+	must.Eq(t, "only", (&Route{Split: []Share{{"only", 0}}}).Pick(7))
+	must.Eq(t, "", (&Route{}).Pick(7))
+}
+
+func TestOnlyResumableStreamsAndSafeRequestsRepeat(t *testing.T) {
+	must.True(t, (&Route{Kind: Safe}).Repeatable())
+	must.False(t, (&Route{Kind: Unsafe, Resumable: true}).Repeatable())
+	must.False(t, (&Route{Kind: Stream}).Repeatable())
+	must.True(t, (&Route{Kind: Stream, Resumable: true}).Repeatable())
+}
--- /dev/null
+++ b/internal/scheduler/budget.go
@@ -0,0 +1,59 @@
+package scheduler
+
+import "time"
+
+const (
+	// budgetSlot is the resolution of the retry budget's window.
+	budgetSlot = 500 * time.Millisecond
+	// budgetMargin is the part of the allowed repeats that is used, against
+	// the resolution of the window and repeats under way.
+	budgetMargin = 0.8
+	budgetSlots  = 64
+)
+
+// budget counts a service's requests and repeats in slots of time.
+type budget struct {
+	slots [budgetSlots]budgetCounts
+}
+
+type budgetCounts struct {
+	slot              int64
+	requests, repeats int
+}
+
+func (b *budget) at(now Instant) *budgetCounts {
+	slot := int64(now) / int64(budgetSlot)
+	c := &b.slots[slot%budgetSlots]
+	if c.slot != slot {
+		*c = budgetCounts{slot: slot}
+	}
+	return c
+}
+
+func (b *budget) request(now Instant) { b.at(now).requests++ }
+func (b *budget) repeat(now Instant)  { b.at(now).repeats++ }
+
+// sums returns the counts of the window that ends now.
+func (b *budget) sums(now Instant, window time.Duration) (requests, repeats int) {
+	last := int64(now) / int64(budgetSlot)
+	first := last - int64(window/budgetSlot)
+	for i := range b.slots {
+		if c := &b.slots[i]; c.slot >= first && c.slot <= last {
+			requests += c.requests
+			repeats += c.repeats
+		}
+	}
+	return requests, repeats
+}
+
+// allows reports whether one more repeat stays inside this instance's part of
+// the budget: the ratio holds for its own requests, the extra is divided by
+// the number of instances.
+func (b *budget) allows(now Instant, bounds Bounds, instances int) bool {
+	if bounds.RetryWindow == 0 {
+		return true
+	}
+	requests, repeats := b.sums(now, bounds.RetryWindow)
+	allowed := budgetMargin * (bounds.RetryRatio*float64(requests) + bounds.RetryExtra/float64(instances))
+	return float64(repeats+1) <= allowed
+}
--- /dev/null
+++ b/internal/scheduler/member.go
@@ -0,0 +1,312 @@
+package scheduler
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+const (
+	// reportInterval is the time between reports in a small system. In a
+	// larger one it grows with the number of members, so that an instance
+	// sends and receives a constant number of reports a second.
+	reportInterval = 100 * time.Millisecond
+	// membersAtInterval is the number of members up to which reportInterval
+	// holds.
+	membersAtInterval = 8
+	// silentReports is how many reports in a row are missed by a member that
+	// counts as out of reach.
+	silentReports = 7
+	// memberMemory is how long a member that is out of reach is counted as one
+	// that may be using its part of quotas elsewhere.
+	memberMemory = 45 * time.Second
+	// probeInterval is the time between reports to addresses that don't
+	// answer.
+	probeInterval = 500 * time.Millisecond
+	// loneParts is the number of instances that one which has heard no other
+	// assumes, if its seeds name others.
+	loneParts = 8
+	// reportedMembers bounds the addresses in one report.
+	reportedMembers = 12
+)
+
+// member is another instance that was heard.
+type member struct {
+	address     string
+	incarnation uint64
+	sequence    uint64
+	heard       Instant
+	// used is what the member had admitted by its last report.
+	used map[string]float64
+	// younger members started after this instance did.
+	younger bool
+}
+
+// members is the view of the other instances.
+type members struct {
+	self       string
+	seeds      []string
+	started    Instant
+	byAddress  map[string]*member
+	probed     map[string]Instant
+	lastReport Instant
+	sequence   uint64
+	// joined is set once another instance was heard.
+	joined bool
+	next   int
+}
+
+func newMembers(cfg Config, now Instant) members {
+	return members{
+		self: cfg.Address, seeds: cfg.Seeds, started: now,
+		byAddress: map[string]*member{}, probed: map[string]Instant{},
+	}
+}
+
+// interval is the time between two reports to a member.
+func (m *members) interval() time.Duration {
+	n := len(m.byAddress)
+	if n <= membersAtInterval {
+		return reportInterval
+	}
+	return reportInterval * time.Duration(n) / membersAtInterval
+}
+
+func (m *members) silence() time.Duration { return silentReports * m.interval() }
+
+func (m *members) inReach(x *member, now Instant) bool { return now.Sub(x.heard) <= m.silence() }
+
+// alone reports whether the seeds name no other instance.
+func (m *members) alone() bool {
+	return !slices.ContainsFunc(m.seeds, func(a string) bool { return a != m.self })
+}
+
+// parts is the number of instances among which a shared allowance is divided.
+func (m *members) parts() int {
+	if !m.joined && !m.alone() {
+		return loneParts
+	}
+	return 1 + len(m.byAddress)
+}
+
+// quotaPart is the part of a quota's rate that the instances in reach may use
+// together. Each of the groups into which the instances are cut gets what
+// corresponds to its number.
+func (m *members) quotaPart(now Instant) float64 {
+	if !m.joined {
+		return 1 / float64(m.parts())
+	}
+	reach := 1
+	for _, x := range m.byAddress {
+		if m.inReach(x, now) {
+			reach++
+		}
+	}
+	return min(1, shareBonus*float64(reach)/float64(1+len(m.byAddress)))
+}
+
+func (m *members) addresses() []string {
+	out := make([]string, 0, len(m.byAddress))
+	for a := range m.byAddress {
+		out = append(out, a)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// gossip sends the reports that are due.
+func (s *State) gossip() {
+	m := &s.members
+	m.seeds = s.cfg.Seeds
+	s.forgetMembers()
+	var to []string
+	if s.now.Sub(m.lastReport) >= m.interval() {
+		m.lastReport = s.now
+		for _, a := range m.addresses() {
+			if m.inReach(m.byAddress[a], s.now) {
+				to = append(to, a)
+			}
+		}
+	}
+	to = append(to, s.probes()...)
+	s.sendReports(to)
+}
+
+// probes returns the addresses, due for a probe, of seeds that were not heard
+// and of members that fell silent.
+func (s *State) probes() []string {
+	m := &s.members
+	var out []string
+	for _, a := range append(slices.Clone(m.seeds), m.addresses()...) {
+		if x := m.byAddress[a]; a == m.self || x != nil && m.inReach(x, s.now) {
+			continue
+		}
+		interval := probeInterval
+		if !m.joined {
+			interval = reportInterval
+		}
+		if last, ok := m.probed[a]; ok && s.now.Sub(last) < interval {
+			continue
+		}
+		m.probed[a] = s.now
+		out = append(out, a)
+	}
+	return out
+}
+
+func (s *State) sendReports(to []string) {
+	if len(to) == 0 {
+		return
+	}
+	m := &s.members
+	m.sequence++
+	report := Report{
+		Incarnation: s.cfg.Incarnation,
+		Sequence:    m.sequence,
+		Address:     s.cfg.Address,
+		Age:         s.now.Sub(s.started),
+		Leaving:     s.leaving,
+		Members:     s.someMembers(),
+		Usage:       s.usageReport(),
+		Loads:       s.loadReport(),
+		Crashes:     s.crashReport(),
+	}
+	if s.table != nil {
+		report.Version = s.table.Version()
+	}
+	s.emit(SendReport{To: to, Report: report})
+}
+
+// someMembers returns addresses of members in reach, others at each call.
+func (s *State) someMembers() []string {
+	m := &s.members
+	var live []string
+	for _, a := range m.addresses() {
+		if m.inReach(m.byAddress[a], s.now) {
+			live = append(live, a)
+		}
+	}
+	if len(live) <= reportedMembers {
+		return live
+	}
+	m.next = (m.next + reportedMembers) % len(live)
+	return append(live[m.next:], live[:m.next]...)[:reportedMembers]
+}
+
+func (s *State) loadReport() []EndpointLoad {
+	var out []EndpointLoad
+	for _, e := range s.endpoints {
+		if e.mine > 0 {
+			out = append(out, EndpointLoad{Endpoint: e.ID, Running: e.mine})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Endpoint < out[j].Endpoint })
+	return out
+}
+
+func (s *State) peerReported(r Report) {
+	m := &s.members
+	if r.Incarnation == s.cfg.Incarnation || r.Address == m.self {
+		return
+	}
+	x := m.byAddress[r.Address]
+	if x != nil && x.incarnation == r.Incarnation && r.Sequence <= x.sequence {
+		return
+	}
+	if r.Leaving {
+		s.memberLeft(x)
+		return
+	}
+	joining := !m.joined
+	if x == nil || x.incarnation != r.Incarnation {
+		x = s.memberJoined(x, r)
+	} else if !m.inReach(x, s.now) {
+		joining = true
+		s.log("instance_reached", "address", r.Address, "silent_ms", s.now.Sub(x.heard).Milliseconds())
+	}
+	m.joined = true
+	x.sequence = r.Sequence
+	x.heard = s.now
+	s.learnMembers(r.Members)
+	s.learnUsage(x, r.Usage, joining)
+	s.learnLoads(r)
+	s.learnCrashes(r.Crashes)
+}
+
+func (s *State) memberJoined(before *member, r Report) *member {
+	if before != nil {
+		s.dropLoads(before.incarnation)
+	}
+	x := &member{
+		address: r.Address, incarnation: r.Incarnation,
+		used: map[string]float64{}, younger: r.Age < s.now.Sub(s.started),
+	}
+	s.members.byAddress[r.Address] = x
+	s.log("instance_joined", "address", r.Address, "incarnation", r.Incarnation, "age_ms", r.Age.Milliseconds())
+	return x
+}
+
+func (s *State) memberLeft(x *member) {
+	if x == nil {
+		return
+	}
+	s.dropLoads(x.incarnation)
+	delete(s.members.byAddress, x.address)
+	s.log("instance_left", "address", x.address, "incarnation", x.incarnation)
+}
+
+// learnMembers probes instances that others have heard.
+func (s *State) learnMembers(addresses []string) {
+	m := &s.members
+	for _, a := range addresses {
+		if a == m.self || m.byAddress[a] != nil {
+			continue
+		}
+		if last, ok := m.probed[a]; ok && s.now.Sub(last) < probeInterval {
+			continue
+		}
+		m.probed[a] = s.now
+		s.sendReports([]string{a})
+	}
+}
+
+func (s *State) learnLoads(r Report) {
+	told := make(map[string]int, len(r.Loads))
+	for _, l := range r.Loads {
+		told[l.Endpoint] = l.Running
+	}
+	for id, e := range s.endpoints {
+		if n := told[id]; n > 0 {
+			e.others[r.Incarnation] = n
+		} else {
+			delete(e.others, r.Incarnation)
+		}
+	}
+}
+
+func (s *State) dropLoads(incarnation uint64) {
+	for _, e := range s.endpoints {
+		delete(e.others, incarnation)
+	}
+}
+
+// forgetMembers drops the loads of members out of reach, and members that have
+// been silent for long.
+func (s *State) forgetMembers() {
+	m := &s.members
+	for a, x := range m.byAddress {
+		if m.inReach(x, s.now) {
+			continue
+		}
+		s.dropLoads(x.incarnation)
+		if s.now.Sub(x.heard) > memberMemory {
+			delete(m.byAddress, a)
+			s.log("instance_forgotten", "address", a)
+		}
+	}
+	for a, last := range m.probed {
+		if s.now.Sub(last) > memberMemory {
+			delete(m.probed, a)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/pool.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// pool is a service's endpoints and the requests that wait for them.
+type pool struct {
+	service string
+	// endpoints are sorted by their id.
+	endpoints []*endpoint
+	// waiting is sorted by rank, then by arrival.
+	waiting []*request
+	means   map[meanKey]float64
+	budget  budget
+	// sincePatient counts the dispatches since a request of the lowest
+	// waiting rank was taken out of turn.
+	sincePatient int
+}
+
+type meanKey struct {
+	route  string
+	stream bool
+}
+
+func (s *State) pool(service string) *pool {
+	p := s.pools[service]
+	if p == nil {
+		p = &pool{service: service, means: map[meanKey]float64{}}
+		s.pools[service] = p
+	}
+	return p
+}
+
+func (p *pool) add(e *endpoint) {
+	i := sort.Search(len(p.endpoints), func(i int) bool { return p.endpoints[i].ID >= e.ID })
+	if i < len(p.endpoints) && p.endpoints[i].ID == e.ID {
+		p.endpoints[i] = e
+		return
+	}
+	p.endpoints = slices.Insert(p.endpoints, i, e)
+}
+
+func (p *pool) remove(e *endpoint) {
+	p.endpoints = slices.DeleteFunc(p.endpoints, func(x *endpoint) bool { return x == e })
+}
+
+// mean adds a sample to a route's moving average and returns it.
+func (p *pool) mean(route string, stream bool, sample float64) float64 {
+	key := meanKey{route, stream}
+	mean, known := p.means[key]
+	if !known {
+		mean = sample
+	}
+	mean += paceWeight / 4 * (sample - mean)
+	p.means[key] = mean
+	return mean
+}
+
+// enqueue puts r behind the waiting requests that precede it.
+func (p *pool) enqueue(r *request) {
+	i := sort.Search(len(p.waiting), func(i int) bool { return r.before(p.waiting[i]) })
+	p.waiting = slices.Insert(p.waiting, i, r)
+}
+
+func (p *pool) dequeue(r *request) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(x *request) bool { return x == r })
+}
+
+const (
+	// endpointDepth is how many requests beyond its slots an endpoint gets, so
+	// that it never idles while an answer's end travels here.
+	endpointDepth = 1
+	// remoteCost is what another availability zone adds to an endpoint's cost,
+	// as a part of one slot's load: traffic between zones is charged for, and
+	// slower by a millisecond.
+	remoteCost = 0.35
+	// failureCost is what an endpoint that spoils every answer adds.
+	failureCost = 3.0
+	// patientShare is how many dispatches a pool makes in order of rank before
+	// one goes to the lowest rank that waits, so that no rank starves.
+	patientShare = 12
+)
+
+// place dispatches waiting requests while endpoints have room.
+func (s *State) place(p *pool) {
+	for len(p.waiting) > 0 {
+		r := p.waiting[0]
+		if p.sincePatient >= patientShare {
+			r = p.firstOfLastRank()
+		}
+		e := s.choose(p, r)
+		if e == nil {
+			r, e = s.firstPlaceable(p)
+		}
+		if e == nil {
+			return
+		}
+		p.sincePatient++
+		if r != p.waiting[0] {
+			p.sincePatient = 0
+		}
+		p.dequeue(r)
+		s.dispatch(r, e)
+	}
+}
+
+func (p *pool) firstOfLastRank() *request {
+	last := p.waiting[len(p.waiting)-1].rank
+	for _, r := range p.waiting {
+		if r.rank == last {
+			return r
+		}
+	}
+	return p.waiting[0]
+}
+
+// firstPlaceable finds a request that some endpoint can take although the
+// first in the queue fits none: only requests that have been at an endpoint
+// differ in where they can go.
+func (s *State) firstPlaceable(p *pool) (*request, *endpoint) {
+	for _, r := range p.waiting[1:] {
+		if len(p.waiting[0].tried) == 0 && len(r.tried) == 0 {
+			continue
+		}
+		if e := s.choose(p, r); e != nil {
+			return r, e
+		}
+	}
+	return nil, nil
+}
+
+// choose returns the endpoint of least cost that has room for r, or nil.
+func (s *State) choose(p *pool, r *request) *endpoint {
+	var best *endpoint
+	bestCost := 0.0
+	for _, e := range p.endpoints {
+		if !s.usable(e) || r.hasTried(e) {
+			continue
+		}
+		load := e.load()
+		if load >= e.slots+endpointDepth {
+			continue
+		}
+		if cost := s.cost(e, load); best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+func (s *State) cost(e *endpoint, load int) float64 {
+	cost := float64(load+1) * e.slowness / float64(e.slots)
+	if e.Zone != s.cfg.Zone {
+		cost += remoteCost / float64(e.slots)
+	}
+	// A little noise keeps instances that see the same from choosing the same.
+	return cost + failureCost*e.failing + 0.02*s.rand.Float64()
+}
+
+// usable reports whether e may get new work now. One request at a time probes
+// an endpoint that comes back from a suspension.
+func (s *State) usable(e *endpoint) bool {
+	if e.Leaving || s.now < e.suspendedUntil || s.now < e.fullUntil {
+		return false
+	}
+	return e.failures == 0 || e.mine == 0
+}
+
+// waitLimit is how long a request may wait for its first dispatch before it is
+// of more use to the caller to know that it was not run.
+func waitLimit(target time.Duration) time.Duration { return target / 2 }
--- /dev/null
+++ b/internal/scheduler/quota.go
@@ -0,0 +1,140 @@
+package scheduler
+
+import "time"
+
+const (
+	// shareBonus is by how much an instance exceeds its part of a quota while
+	// instances are out of reach. Quotas may be overrun by a quarter; the rest
+	// covers what is under way between instances.
+	shareBonus = 1.1
+	// debtLimit is the largest debt of a bucket, in seconds of its rate: what
+	// instances may admit before they know of each other's admissions.
+	debtLimit = 2.0
+)
+
+// bucket is this instance's view of an organisation's token bucket, which all
+// instances share: it is filled at the whole rate and pays for what every
+// reachable instance admits.
+type bucket struct {
+	rate, burst float64
+	level       float64
+	at          Instant
+	// used is the sum of this instance's own charges.
+	used float64
+}
+
+// fill adds what has accrued. parts is the part of the whole rate that the
+// instances in reach may use.
+func (b *bucket) fill(now Instant, part float64) {
+	b.level = min(b.level+b.rate*part*now.Sub(b.at).Seconds(), b.burst)
+	b.at = now
+}
+
+func (b *bucket) pay(cost float64) {
+	b.level = max(b.level-cost, -debtLimit*b.rate)
+}
+
+// adoptQuotas follows a changed configuration. A new bucket is empty: nobody
+// knows what was admitted before.
+func (s *State) adoptQuotas() {
+	for _, o := range s.table.Organisations() {
+		b := s.quotas[o.Name]
+		if b == nil {
+			b = &bucket{at: s.now}
+			s.quotas[o.Name] = b
+		}
+		b.fill(s.now, s.members.quotaPart(s.now))
+		b.rate = o.Quota.RatePerSecond
+		b.burst = max(o.Quota.Burst, b.rate*TickInterval.Seconds())
+		b.level = min(b.level, b.burst)
+	}
+}
+
+// cost is what a request takes from its organisation's quota.
+func (r *request) cost() float64 {
+	q := r.Organisation.Quota
+	switch {
+	case !q.InTokens:
+		return 1
+	case r.Tokens == 0:
+		return float64(q.DefaultTokens)
+	default:
+		return float64(r.Tokens)
+	}
+}
+
+// quotaWait returns how long the organisation must wait for its quota, or
+// zero if the request is inside it. A bucket that is not empty admits, whatever
+// the cost: the debt is paid back before the next.
+func (s *State) quotaWait(r *request) time.Duration {
+	if r.Organisation == nil || r.Organisation.Quota.RatePerSecond <= 0 {
+		return 0
+	}
+	b := s.quotas[r.Organisation.Name]
+	if b == nil {
+		return 0
+	}
+	b.fill(s.now, s.members.quotaPart(s.now))
+	if b.level > 0 || b.rate <= 0 {
+		return 0
+	}
+	return time.Duration(-b.level / b.rate * float64(time.Second))
+}
+
+func (s *State) charge(r *request) {
+	if r.Organisation == nil {
+		return
+	}
+	if b := s.quotas[r.Organisation.Name]; b != nil && b.rate > 0 {
+		r.charged = r.cost()
+		b.pay(r.charged)
+		b.used += r.charged
+	}
+}
+
+// refund gives back what a request was charged that never ran.
+func (s *State) refund(r *request) {
+	if r.charged == 0 {
+		return
+	}
+	if b := s.quotas[r.Organisation.Name]; b != nil {
+		b.level = min(b.level+r.charged, b.burst)
+		b.used -= r.charged
+	}
+	r.charged = 0
+}
+
+func (s *State) usageReport() []Usage {
+	var out []Usage
+	if s.table == nil {
+		return nil
+	}
+	for _, o := range s.table.Organisations() {
+		if b := s.quotas[o.Name]; b != nil && b.rate > 0 {
+			b.fill(s.now, s.members.quotaPart(s.now))
+			out = append(out, Usage{Organisation: o.Name, Used: b.used, Level: b.level})
+		}
+	}
+	return out
+}
+
+// learnUsage charges what a member has admitted since its last report.
+func (s *State) learnUsage(m *member, usage []Usage, joining bool) {
+	for _, u := range usage {
+		b := s.quotas[u.Organisation]
+		if b == nil {
+			continue
+		}
+		b.fill(s.now, s.members.quotaPart(s.now))
+		last, known := m.used[u.Organisation]
+		m.used[u.Organisation] = u.Used
+		switch {
+		case joining, !known && !m.younger:
+			// What was admitted while the two did not hear each other was paid
+			// for by the parts of the rate that each kept to.
+			b.level = min(b.level, u.Level)
+		default:
+			b.pay(u.Used - last)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/request.go
@@ -0,0 +1,234 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// request is a caller's request while it is held here.
+type request struct {
+	Request
+	arrived Instant
+	queued  Instant
+	rank    rank
+	// tried holds the endpoints that the request was sent to.
+	tried []string
+	// at is where it runs; nil while it waits.
+	at *endpoint
+	// mayHaveRun is set once an endpoint may have begun to run the request.
+	mayHaveRun bool
+	// charged is what the organisation's quota was charged.
+	charged float64
+}
+
+// rank orders waiting requests; the smaller precedes.
+type rank struct{ organisation, route int }
+
+func (r *request) before(other *request) bool {
+	if r.rank != other.rank {
+		return r.rank.less(other.rank)
+	}
+	if r.arrived != other.arrived {
+		return r.arrived < other.arrived
+	}
+	return r.ID < other.ID
+}
+
+func (r rank) less(other rank) bool {
+	if r.route != other.route {
+		return r.route < other.route
+	}
+	return r.organisation < other.organisation
+}
+
+func (r *request) hasTried(e *endpoint) bool { return slices.Contains(r.tried, e.ID) }
+
+// arrived admits, refuses or queues a new request.
+func (s *State) arrived(q Request) {
+	r := &request{Request: q, arrived: s.now, queued: s.now}
+	s.count(CounterArrivals, q.Service)
+	r.rank.route = q.Route.Priority
+	if q.Organisation != nil {
+		r.rank.organisation = q.Organisation.Priority
+	}
+	p := s.pool(q.Service)
+	p.budget.request(s.now)
+	if reason, retry := s.admit(r, p); reason != "" {
+		s.refuse(r, reason, retry)
+		return
+	}
+	s.charge(r)
+	s.requests[r.ID] = r
+	p.enqueue(r)
+	s.place(p)
+}
+
+// admit returns why a new request can't be served, or nothing.
+func (s *State) admit(r *request, p *pool) (Reason, time.Duration) {
+	switch {
+	case r.Organisation != nil && s.beliefStale():
+		return ConfigStale, s.retryAfter(r)
+	case s.crashSuspect(r.Fingerprint):
+		return CrashSuspect, 0
+	case !s.hasEndpoint(p):
+		return NoEndpoint, s.retryAfter(r)
+	}
+	if wait := s.quotaWait(r); wait > 0 {
+		return QuotaExceeded, s.retryWithin(r, wait)
+	}
+	return "", 0
+}
+
+// hasEndpoint reports whether the pool has any endpoint that may take work,
+// now or soon.
+func (s *State) hasEndpoint(p *pool) bool {
+	for _, e := range p.endpoints {
+		if !e.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) dispatch(r *request, e *endpoint) {
+	r.at = e
+	r.tried = append(r.tried, e.ID)
+	e.mine++
+	s.emit(Dispatch{ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued)})
+}
+
+// callerGone forgets a request that waits. Where a dispatch crossed the
+// event, nothing was sent.
+func (s *State) callerGone(id RequestID) {
+	r := s.requests[id]
+	if r == nil {
+		return
+	}
+	p := s.pool(r.Service)
+	if e := r.at; e != nil {
+		e.mine--
+		r.at = nil
+	} else {
+		p.dequeue(r)
+	}
+	s.forget(r)
+	s.place(p)
+}
+
+// forget ends a request; what never ran is not charged.
+func (s *State) forget(r *request) {
+	if !r.mayHaveRun {
+		s.refund(r)
+	}
+	delete(s.requests, r.ID)
+}
+
+func (s *State) refuse(r *request, reason Reason, retryAfter time.Duration) {
+	s.count(CounterRefusals, string(reason))
+	s.emit(Refuse{ID: r.ID, Reason: reason, NotRun: !r.mayHaveRun, RetryAfter: retryAfter})
+}
+
+// end refuses a request that is held.
+func (s *State) end(r *request, reason Reason) {
+	retry := time.Duration(0)
+	if !r.mayHaveRun {
+		retry = s.retryAfter(r)
+	}
+	s.refuse(r, reason, retry)
+	s.forget(r)
+}
+
+func (s *State) attemptEnded(id RequestID, a Attempt) {
+	r := s.requests[id]
+	if r == nil || r.at == nil {
+		return
+	}
+	e := r.at
+	r.at = nil
+	e.mine--
+	s.count(CounterOutcomes, a.Outcome.String())
+	s.observe(e, r, a)
+	if a.Outcome != NotSent && a.Outcome != NotRun && a.Outcome != Misdirected {
+		r.mayHaveRun = true
+	}
+	if a.Outcome == Broken {
+		s.noteBroken(r)
+	}
+	if a.Outcome == Completed || a.Outcome == Abandoned {
+		s.forget(r)
+	} else {
+		s.again(r, e, a)
+	}
+	s.place(s.pool(e.Service))
+}
+
+// again decides whether a request whose attempt failed is sent once more.
+func (s *State) again(r *request, failed *endpoint, a Attempt) {
+	p := s.pool(r.Service)
+	if reason := s.mayRepeat(r, p, a); reason != "" {
+		s.end(r, reason)
+		return
+	}
+	if a.Outcome == NotSent {
+		// Nothing reached the endpoint: the attempt does not count.
+		r.tried = r.tried[:len(r.tried)-1]
+	} else {
+		p.budget.repeat(s.now)
+	}
+	s.count(CounterRetries, a.Outcome.String())
+	s.log("request_retried", "request", r.Name, "after", a.Outcome.String(), "endpoint", failed.ID,
+		"attempts", len(r.tried), "left_ms", r.Deadline.Sub(s.now).Milliseconds())
+	r.queued = s.now
+	p.enqueue(r)
+}
+
+// mayRepeat returns why a request can't be sent again, or nothing.
+func (s *State) mayRepeat(r *request, p *pool, a Attempt) Reason {
+	switch {
+	case r.mayHaveRun && !r.Route.Repeatable():
+		return NotRepeatable
+	case s.now >= r.Deadline:
+		return DeadlinePassed
+	case a.Outcome == NotSent:
+		return ""
+	case len(r.tried) >= max(r.Route.MaxAttempts, 1):
+		if a.Outcome == NotRun {
+			return EndpointsFull
+		}
+		return AttemptsUsed
+	case s.crashSuspect(r.Fingerprint):
+		return CrashSuspect
+	case !p.budget.allows(s.now, s.cfg.Bounds, s.members.parts()):
+		return RetryBudgetUsed
+	}
+	return ""
+}
+
+// expireWaiting refuses what has waited too long.
+func (s *State) expireWaiting() {
+	for _, p := range s.pools {
+		var late []*request
+		for _, r := range p.waiting {
+			if s.now >= r.waitsUntil() {
+				late = append(late, r)
+			}
+		}
+		for _, r := range late {
+			p.dequeue(r)
+			reason := QueueDelay
+			if s.now >= r.Deadline {
+				reason = DeadlinePassed
+			}
+			s.end(r, reason)
+		}
+	}
+}
+
+// waitsUntil is when the request stops waiting. One whose answer has begun, or
+// that may have run, has no better way than to wait for its second endpoint.
+func (r *request) waitsUntil() Instant {
+	if r.mayHaveRun {
+		return r.Deadline
+	}
+	return min(r.Deadline, r.arrived.Add(waitLimit(r.Route.Target)))
+}
--- /dev/null
+++ b/internal/settings/routed_test.go
@@ -0,0 +1,54 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/strict"
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+const routed = `instance = "i"
+availability_zone = "z"
+caller_address = "127.0.0.1:1"
+operator_address = "127.0.0.1:2"
+gossip_address = "127.0.0.1:3"
+platform_address = "127.0.0.1:4"
+seeds = ["127.0.0.1:3", "127.0.0.2:3"]
+
+[bounds]
+revocation_ms = 5000
+retry_ratio = 0.2
+retry_extra = 52.0
+retry_window_s = 10
+grace_s = 8
+`
+
+func TestRoutedSettings(t *testing.T) {
+	s, err := ParseRouted([]byte(routed))
+	must.NoError(t, err)
+	must.Eq(t, 5*time.Second, s.Bounds.Revocation())
+	must.Eq(t, 10*time.Second, s.Bounds.RetryWindow())
+	must.Eq(t, 8*time.Second, s.Bounds.Grace())
+	must.Eq(t, 0.2, s.Bounds.RetryRatio)
+	must.Len(t, 2, s.Seeds)
+	must.Eq(t, time.Minute, s.Limits.IdleTimeout())
+}
+
+func TestBadRoutedSettingsNameTheirKey(t *testing.T) {
+	for _, c := range []struct{ old, new, key string }{
+		{`instance = "i"`, ``, "instance"},
+		{`"127.0.0.2:3"`, `"host:3"`, "seeds"},
+		{`gossip_address = "127.0.0.1:3"`, `gossip_address = "x"`, "gossip_address"},
+		{`grace_s = 8`, `grace_s = -1`, "bounds.grace_s"},
+		{`retry_ratio = 0.2`, `retry_share = 0.2`, "bounds.retry_share"},
+		{`[bounds]`, "[limits]\nmemory_mb = 1\n[bounds]", "limits.memory_mb"},
+	} {
+		_, err := ParseRouted([]byte(strings.Replace(routed, c.old, c.new, 1)))
+		refused := new(strict.Error)
+		must.True(t, errors.As(err, &refused), must.Sprint(c.key))
+		must.Eq(t, c.key, refused.Problems[0].Key)
+	}
+}
--- a/internal/strict/decode_test.go
+++ b/internal/strict/decode_test.go
@@ -112,3 +112,16 @@
 	must.Len(t, 50_000, e.Problems)
 	must.Eq(t, 100_000, e.Problems[49_999].Line)
 }
+
+func TestNumbersMayHaveFractions(t *testing.T) {
+	var v struct {
+		Ratio float64 `toml:"ratio"`
+		Whole float64 `toml:"whole"`
+	}
+	must.NoError(t, Decode([]byte("ratio = 0.25\nwhole = 3\n"), &v).Err())
+	must.Eq(t, 0.25, v.Ratio)
+	must.Eq(t, 3, v.Whole)
+	for _, bad := range []string{"inf", "nan", "\"0.5\"", "true"} {
+		must.Error(t, Decode([]byte("ratio = "+bad+"\n"), &v).Err(), must.Sprint(bad))
+	}
+}
--- a/internal/strict/walk.go
+++ b/internal/strict/walk.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"reflect"
 	"strconv"
 	"strings"
@@ -264,6 +265,8 @@
 		return n.Kind == unstable.String || w.wrongType(at, "a string", n)
 	case reflect.Bool:
 		return n.Kind == unstable.Bool || w.wrongType(at, "true or false", n)
+	case reflect.Float64:
+		return w.number(at, n)
 	case reflect.Slice:
 		return w.array(t.elem, at, n)
 	case reflect.Map, reflect.Struct:
@@ -294,6 +297,22 @@
 	return true
 }
 
+// number takes what a float64 can hold, but for infinity and NaN: no setting
+// means anything by them.
+func (w *walker) number(at Path, n *unstable.Node) bool {
+	if n.Kind == unstable.Integer {
+		return true
+	}
+	if n.Kind != unstable.Float {
+		return w.wrongType(at, "a number", n)
+	}
+	v, err := strconv.ParseFloat(strings.ReplaceAll(string(n.Data), "_", ""), 64)
+	if err != nil || math.IsInf(v, 0) || math.IsNaN(v) {
+		return w.refuse(at, "%s is not a finite number", n.Data)
+	}
+	return true
+}
+
 func (w *walker) array(elem *shape, at Path, n *unstable.Node) bool {
 	if n.Kind != unstable.Array {
 		return w.wrongType(at, "a list", n)
