--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -19,6 +19,8 @@
 		Leaving:     r.Leaving,
 		Version:     r.Version,
 		Members:     r.Members,
+		Demand:      r.Demand,
+		Known:       uint32(r.Known),
 	}
 	for _, u := range r.Usage {
 		m.Usage = append(m.Usage, &gossippb.Usage{Organisation: u.Organisation, Used: u.Used, Level: u.Level})
@@ -49,6 +51,8 @@
 		Leaving:     m.GetLeaving(),
 		Version:     m.GetVersion(),
 		Members:     m.GetMembers(),
+		Demand:      m.GetDemand(),
+		Known:       int(m.GetKnown()),
 	}
 	for _, u := range m.GetUsage() {
 		r.Usage = append(r.Usage, scheduler.Usage{Organisation: u.GetOrganisation(), Used: u.GetUsed(), Level: u.GetLevel()})
--- /dev/null
+++ b/internal/scheduler/belief_test.go
@@ -0,0 +1,82 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/balsamstair/balsamstair/internal/routing"
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+var org = &routing.Organisation{Name: "org"}
+
+func keyed(q *Request) { q.Organisation = org }
+
+// Load pattern: an instance is cut off from the platform while keys are
+// withdrawn. It refuses keyed requests before the bound ends, serves public
+// ones, and serves keys again as soon as it hears of the configuration.
+func TestKeysAreRefusedBeforeTheRevocationBound(t *testing.T) {
+	i := serving(t, 1, 50)
+	must.True(t, i.ready)
+	i.passAlone(3500 * time.Millisecond)
+	must.True(t, i.running(i.arrive(route("r", 0), keyed)))
+	// A second of the bound stays for polls that heard nothing of a change.
+	i.passAlone(500 * time.Millisecond)
+	got := i.refusal(i.arrive(route("r", 0), keyed))
+	must.Eq(t, ConfigStale, got.Reason)
+	must.True(t, got.NotRun)
+	must.False(t, i.ready)
+	must.True(t, i.running(i.arrive(route("r", 0), nil)))
+	i.confirm()
+	must.True(t, i.running(i.arrive(route("r", 0), keyed)))
+	must.True(t, i.ready)
+}
+
+// What an answer says holds from the moment at which it was asked for.
+func TestLateAnswersAreDatedByTheirQuestion(t *testing.T) {
+	i := serving(t, 1, 50)
+	asked := int64(i.now)
+	i.passAlone(10 * time.Second)
+	i.step(DirectoryRead{Update: directory.Update{Asked: asked}})
+	must.Eq(t, ConfigStale, i.refusal(i.arrive(route("r", 0), keyed)).Reason)
+}
+
+func TestFailedReadsConfirmNothing(t *testing.T) {
+	i := serving(t, 1, 50)
+	for range 5 {
+		i.passAlone(time.Second)
+		i.read(directory.Update{Err: errors.New("refused")})
+	}
+	must.Eq(t, ConfigStale, i.refusal(i.arrive(route("r", 0), keyed)).Reason)
+}
+
+func TestConfigurationOnlyGoesForward(t *testing.T) {
+	i := newInstance(t, testConfig())
+	i.passAlone(time.Second)
+	must.False(t, i.ready)
+	for _, version := range []int64{3, 7, 5, 7} {
+		i.configure(routing.Config{Version: version})
+	}
+	must.Eq(t, 7, i.s.table.Version())
+	must.True(t, i.ready)
+}
+
+func TestUnreadableValuesChangeNothing(t *testing.T) {
+	i := serving(t, 2, 4)
+	i.change(directory.Change{Problem: "bad"}, directory.Change{EndpointID: "forged", Problem: "bad"})
+	must.Eq(t, 1, i.s.table.Version())
+	must.MapLen(t, 2, i.s.endpoints)
+}
+
+func TestLeavingInstancesAreNotReadyAndSaySo(t *testing.T) {
+	i := serving(t, 1, 4)
+	i.step(PeerReported{Report: Report{Incarnation: 2, Sequence: 1, Address: "10.0.0.2:1"}})
+	i.reports = nil
+	i.step(StopRequested{})
+	must.False(t, i.ready)
+	must.Len(t, 1, i.reports)
+	must.True(t, i.reports[0].Report.Leaving)
+	must.True(t, i.running(i.arrive(route("r", 0), nil)))
+}
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -134,6 +134,10 @@
 	Leaving bool
 	// Version is the configuration in force at the sender.
 	Version int64
+	// Demand is the cost a second that is asked of the sender.
+	Demand float64
+	// Known is the number of instances that the sender reckons with.
+	Known int
 	// Members are addresses of instances that the sender has heard lately.
 	Members []string
 	Usage   []Usage
--- /dev/null
+++ b/internal/scheduler/fixture_test.go
@@ -0,0 +1,157 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/balsamstair/balsamstair/internal/routing"
+	"github.com/shoenig/test/must"
+)
+
+// instance is one State with what it has asked for so far.
+type instance struct {
+	t   *testing.T
+	s   *State
+	now Instant
+	// next numbers requests.
+	next       RequestID
+	dispatched map[RequestID]Dispatch
+	order      []RequestID
+	refused    map[RequestID]Refuse
+	reports    []SendReport
+	ready      bool
+	revision   int64
+}
+
+const (
+	service  = "engines"
+	selfAddr = "10.0.0.1:1"
+)
+
+func testConfig() Config {
+	return Config{
+		Instance: "i", Zone: "a", Address: selfAddr, Incarnation: 1, Seed: 1,
+		Bounds: Bounds{Revocation: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
+	}
+}
+
+func newInstance(t *testing.T, cfg Config) *instance {
+	i := &instance{t: t, now: Instant(time.Hour), dispatched: map[RequestID]Dispatch{}, refused: map[RequestID]Refuse{}}
+	i.s = New(cfg, i.now)
+	return i
+}
+
+func (i *instance) step(ev Event) {
+	for _, e := range i.s.Step(i.now, ev) {
+		switch e := e.(type) {
+		case Dispatch:
+			i.dispatched[e.ID] = e
+			i.order = append(i.order, e.ID)
+		case Refuse:
+			i.refused[e.ID] = e
+		case SendReport:
+			i.reports = append(i.reports, e)
+		case ReadyChanged:
+			i.ready = e.Ready
+		}
+	}
+}
+
+// pass lets time go by in ticks, the platform confirming all the while.
+func (i *instance) pass(d time.Duration) {
+	for end := i.now.Add(d); i.now < end; {
+		i.now = i.now.Add(TickInterval)
+		i.confirm()
+		i.step(Tick{})
+	}
+}
+
+// passAlone lets time go by without a word from the platform.
+func (i *instance) passAlone(d time.Duration) {
+	for end := i.now.Add(d); i.now < end; {
+		i.now = i.now.Add(TickInterval)
+		i.step(Tick{})
+	}
+}
+
+func (i *instance) confirm() { i.read(directory.Update{}) }
+
+// read is an answer of the platform to a read that began just now.
+func (i *instance) read(u directory.Update) {
+	u.Asked = int64(i.now)
+	i.step(DirectoryRead{Update: u})
+}
+
+func (i *instance) change(changes ...directory.Change) {
+	i.revision++
+	i.read(directory.Update{Batch: directory.Batch{Changes: changes, Revision: i.revision}})
+}
+
+func (i *instance) list(changes ...directory.Change) {
+	i.revision++
+	i.read(directory.Update{Whole: true, Batch: directory.Batch{Changes: changes, Revision: i.revision}})
+}
+
+func (i *instance) configure(c routing.Config) { i.change(directory.Change{Config: &c}) }
+
+func engine(n, slots int) directory.Change {
+	id := fmt.Sprintf("e%d", n)
+	return directory.Change{EndpointID: id, Endpoint: &directory.Endpoint{
+		ID: id, Service: service, Address: fmt.Sprintf("10.1.0.%d:1", n), Zone: "a", Slots: slots, Started: 1,
+	}}
+}
+
+func engines(n, slots int) []directory.Change {
+	var out []directory.Change
+	for k := range n {
+		out = append(out, engine(k, slots))
+	}
+	return out
+}
+
+func route(name string, priority int) *routing.Route {
+	return &routing.Route{
+		Name: name, Kind: routing.Stream, Priority: priority, MaxAttempts: 2, Resumable: true,
+		Target: 600 * time.Millisecond, Timeout: 5 * time.Second,
+		Split: []routing.Share{{Service: service, Weight: 1}},
+	}
+}
+
+// serving returns an instance with a configuration and endpoints.
+func serving(t *testing.T, endpoints, slots int) *instance {
+	i := newInstance(t, testConfig())
+	i.configure(routing.Config{Version: 1})
+	i.change(engines(endpoints, slots)...)
+	return i
+}
+
+// arrive hands a request in and returns its id.
+func (i *instance) arrive(r *routing.Route, change func(*Request)) RequestID {
+	i.next++
+	q := Request{
+		ID: i.next, Name: fmt.Sprint(i.next), Route: r, Service: service, Fingerprint: uint64(i.next),
+		CallerDeadline: i.now.Add(5 * time.Second), Deadline: i.now.Add(5 * time.Second),
+	}
+	if change != nil {
+		change(&q)
+	}
+	i.step(Arrived{Request: q})
+	return i.next
+}
+
+func (i *instance) end(id RequestID, a Attempt) {
+	delete(i.dispatched, id)
+	i.step(AttemptEnded{ID: id, Attempt: a})
+}
+
+func (i *instance) running(id RequestID) bool { _, ok := i.dispatched[id]; return ok }
+
+// refusal returns the refusal of a request, which must have happened.
+func (i *instance) refusal(id RequestID) Refuse {
+	i.t.Helper()
+	r, ok := i.refused[id]
+	must.True(i.t, ok, must.Sprintf("request %d was not refused", id))
+	return r
+}
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -14,6 +14,9 @@
 	// membersAtInterval is the number of members up to which reportInterval
 	// holds.
 	membersAtInterval = 8
+	// quotaSilentReports is how many reports in a row are missed by a member
+	// whose part of quotas is left to it. Losing as many by chance costs little.
+	quotaSilentReports = 3
 	// silentReports is how many reports in a row are missed by a member that
 	// counts as out of reach.
 	silentReports = 7
@@ -23,9 +26,12 @@
 	// probeInterval is the time between reports to addresses that don't
 	// answer.
 	probeInterval = 500 * time.Millisecond
-	// loneParts is the number of instances that one which has heard no other
-	// assumes, if its seeds name others.
+	// loneParts is the least number of instances that one assumes which has
+	// only heard instances as young as itself, if its seeds name others.
 	loneParts = 8
+	// youth is the age up to which an instance may not know of others that are
+	// out of its reach.
+	youth = 10 * time.Second
 	// reportedMembers bounds the addresses in one report.
 	reportedMembers = 12
 )
@@ -40,6 +46,8 @@
 	used map[string]float64
 	// younger members started after this instance did.
 	younger bool
+	// demand is what is asked of the member, in cost a second.
+	demand float64
 }
 
 // members is the view of the other instances.
@@ -53,7 +61,44 @@
 	sequence   uint64
 	// joined is set once another instance was heard.
 	joined bool
-	next   int
+	// toldKnown is the number of instances that an older one knew of while
+	// this one was young.
+	toldKnown int
+	next      int
+	demand demand
+	// weights are the instances' parts of all demand, by address, as they were
+	// when all known instances were last in reach. Instances that are cut off
+	// from each other then divide a quota by the same figures.
+	weights map[string]float64
+}
+
+const (
+	// demandInterval and demandWeight make a moving average of demand over
+	// some seconds.
+	demandInterval = 500 * time.Millisecond
+	demandWeight   = 0.2
+	// evenShare is the part of a quota that is divided evenly, whatever the
+	// demand was: it may come to another instance next.
+	evenShare = 0.4
+)
+
+// demand is the moving average of the cost that is asked of this instance.
+type demand struct {
+	sum       float64
+	perSecond float64
+	since     Instant
+}
+
+func (d *demand) add(cost float64) { d.sum += cost }
+
+func (d *demand) update(now Instant) {
+	passed := now.Sub(d.since)
+	if passed < demandInterval {
+		return
+	}
+	d.perSecond += demandWeight * (d.sum/passed.Seconds() - d.perSecond)
+	d.sum = 0
+	d.since = now
 }
 
 func newMembers(cfg Config, now Instant) members {
@@ -81,28 +126,76 @@
 	return !slices.ContainsFunc(m.seeds, func(a string) bool { return a != m.self })
 }
 
-// parts is the number of instances among which a shared allowance is divided.
-func (m *members) parts() int {
-	if !m.joined && !m.alone() {
-		return loneParts
+// known is the number of instances that may be using their part of a shared
+// allowance: those that were heard lately, seeds that were not, and what older
+// instances have told.
+func (m *members) known(now Instant) int {
+	n := 1 + len(m.byAddress)
+	for _, seed := range m.seeds {
+		if seed != m.self && m.byAddress[seed] == nil {
+			n++
+		}
 	}
-	return 1 + len(m.byAddress)
+	if now.Sub(m.started) > youth || m.alone() {
+		return n
+	}
+	if m.toldKnown == 0 {
+		return max(n, loneParts)
+	}
+	return max(n, m.toldKnown)
 }
 
-// quotaPart is the part of a quota's rate that the instances in reach may use
+// parts is the number of instances among which a shared allowance is divided.
+func (m *members) parts(now Instant) int { return m.known(now) }
+
+// quotaPart is the part of a quota that the instances in reach may use
 // together. Each of the groups into which the instances are cut gets what
-// corresponds to its number.
+// corresponds to its number and to the demand that it had.
 func (m *members) quotaPart(now Instant) float64 {
-	if !m.joined {
-		return 1 / float64(m.parts())
+	all := float64(m.known(now))
+	number, weight := 1.0, m.weight(m.self, all)
+	for a, x := range m.byAddress {
+		if now.Sub(x.heard) <= quotaSilentReports*m.interval() {
+			number++
+			weight += m.weight(a, all)
+		}
+	}
+	if number == all {
+		return 1
+	}
+	return min(1, shareBonus*(evenShare*number/all+(1-evenShare)*weight))
+}
+
+// weight is an instance's part of the demand; one that was not there when the
+// parts were last known gets an average one.
+func (m *members) weight(address string, all float64) float64 {
+	if w, ok := m.weights[address]; ok {
+		return w
 	}
-	reach := 1
+	return 1 / all
+}
+
+// updateWeights notes each instance's part of the demand while all are in
+// reach.
+func (m *members) updateWeights(now Instant) {
+	m.demand.update(now)
+	total := m.demand.perSecond
 	for _, x := range m.byAddress {
-		if m.inReach(x, now) {
-			reach++
+		if now.Sub(x.heard) > quotaSilentReports*m.interval() {
+			return
 		}
+		total += x.demand
+	}
+	if 1+len(m.byAddress) < m.known(now) {
+		return
+	}
+	if total <= 0 {
+		return
+	}
+	m.weights = map[string]float64{m.self: m.demand.perSecond / total}
+	for a, x := range m.byAddress {
+		m.weights[a] = x.demand / total
 	}
-	return min(1, shareBonus*float64(reach)/float64(1+len(m.byAddress)))
 }
 
 func (m *members) addresses() []string {
@@ -122,6 +215,7 @@
 	var to []string
 	if s.now.Sub(m.lastReport) >= m.interval() {
 		m.lastReport = s.now
+		m.updateWeights(s.now)
 		for _, a := range m.addresses() {
 			if m.inReach(m.byAddress[a], s.now) {
 				to = append(to, a)
@@ -166,6 +260,8 @@
 		Address:     s.cfg.Address,
 		Age:         s.now.Sub(s.started),
 		Leaving:     s.leaving,
+		Demand:      m.demand.perSecond,
+		Known:       m.known(s.now),
 		Members:     s.someMembers(),
 		Usage:       s.usageReport(),
 		Loads:       s.loadReport(),
@@ -225,8 +321,12 @@
 		s.log("instance_reached", "address", r.Address, "silent_ms", s.now.Sub(x.heard).Milliseconds())
 	}
 	m.joined = true
+	if r.Age > youth && s.now.Sub(m.started) <= youth {
+		m.toldKnown = max(m.toldKnown, r.Known)
+	}
 	x.sequence = r.Sequence
 	x.heard = s.now
+	x.demand = r.Demand
 	s.learnMembers(r.Members)
 	s.learnUsage(x, r.Usage, joining)
 	s.learnLoads(r)
--- /dev/null
+++ b/internal/scheduler/placement_test.go
@@ -0,0 +1,173 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/shoenig/test/must"
+)
+
+// Load pattern: more work than places. Nothing beyond the depth is sent to an
+// endpoint, since endpoints admit in order of arrival.
+func TestWorkBeyondTheDepthWaitsHere(t *testing.T) {
+	i := serving(t, 2, 3)
+	for range 20 {
+		i.arrive(route("r", 0), nil)
+	}
+	must.MapLen(t, 2*(3+endpointDepth), i.dispatched)
+	perEndpoint := map[string]int{}
+	for _, d := range i.dispatched {
+		perEndpoint[d.Endpoint.ID]++
+	}
+	must.Eq(t, map[string]int{"e0": 3 + endpointDepth, "e1": 3 + endpointDepth}, perEndpoint)
+}
+
+// Load pattern: a burst of every kind. A place that becomes free goes to the
+// most urgent that waits, then to the oldest.
+func TestUrgentRequestsPrecede(t *testing.T) {
+	i := serving(t, 1, 1)
+	first := i.arrive(route("low", 2), nil)
+	second := i.arrive(route("low", 2), nil)
+	low := i.arrive(route("low", 2), nil)
+	middle := i.arrive(route("middle", 1), nil)
+	urgent := i.arrive(route("urgent", 0), nil)
+	later := i.arrive(route("urgent", 0), nil)
+	for _, id := range []RequestID{first, second, urgent, later, middle, low} {
+		must.True(t, i.running(id))
+		i.end(id, Attempt{Outcome: Completed})
+	}
+}
+
+// Load pattern: an endless burst of urgent requests. The lowest rank that
+// waits gets a place now and then.
+func TestNoRankStarves(t *testing.T) {
+	i := serving(t, 1, 1)
+	low := route("low", 2)
+	low.Target = time.Hour
+	waiting := i.arrive(low, nil)
+	for range 3 {
+		i.arrive(route("urgent", 0), nil)
+	}
+	must.True(t, i.running(waiting))
+	waiting = i.arrive(low, nil)
+	served := 0
+	for range 4 * patientShare {
+		i.arrive(route("urgent", 0), nil)
+		i.end(i.order[len(i.order)-1], Attempt{Outcome: Completed})
+		if i.running(waiting) {
+			served++
+			waiting = i.arrive(low, nil)
+		}
+	}
+	must.GreaterEq(t, 2, served)
+}
+
+// Load pattern: overload. A request that can't begin in time is refused as
+// not run, with a time to come back that the caller can keep.
+func TestWaitingEndsAtHalfTheTarget(t *testing.T) {
+	i := serving(t, 1, 1)
+	for range 1 + endpointDepth {
+		i.arrive(route("r", 0), nil)
+	}
+	id := i.arrive(route("r", 0), nil)
+	i.pass(250 * time.Millisecond)
+	must.MapNotContainsKey(t, i.refused, id)
+	i.pass(100 * time.Millisecond)
+	got := i.refusal(id)
+	must.Eq(t, QueueDelay, got.Reason)
+	must.True(t, got.NotRun)
+	must.Greater(t, 0, got.RetryAfter)
+	must.Less(t, 5*time.Second/3, got.RetryAfter)
+}
+
+// Load pattern: unlike engines. The one that takes three times as long gets
+// fewer requests.
+func TestSlowEndpointsGetLess(t *testing.T) {
+	i := serving(t, 2, 8)
+	counts := map[string]int{}
+	var open []RequestID
+	for range 400 {
+		id := i.arrive(route("r", 0), nil)
+		counts[i.dispatched[id].Endpoint.ID]++
+		open = append(open, id)
+		if len(open) < 8 {
+			continue
+		}
+		pace := 20 * time.Millisecond
+		if i.dispatched[open[0]].Endpoint.ID == "e0" {
+			pace *= 3
+		}
+		i.end(open[0], Attempt{Outcome: Completed, Pace: pace, FirstByte: pace})
+		open = open[1:]
+	}
+	must.Less(t, counts["e1"]/2, counts["e0"], must.Sprint(counts))
+}
+
+// Load pattern: an endpoint crashes. It gets nothing for a moment, then one
+// request at a time until one completes.
+func TestFailedEndpointIsProbed(t *testing.T) {
+	i := serving(t, 1, 4)
+	i.end(i.arrive(route("r", 0), nil), Attempt{Outcome: NotSent})
+	must.MapEmpty(t, i.dispatched)
+	i.pass(firstSuspension + TickInterval)
+	must.MapLen(t, 1, i.dispatched)
+	id := i.arrive(route("r", 0), nil)
+	must.False(t, i.running(id))
+	i.end(i.order[len(i.order)-1], Attempt{Outcome: Completed})
+	must.True(t, i.running(id))
+	must.True(t, i.running(i.arrive(route("r", 0), nil)))
+}
+
+func TestLeavingEndpointsGetNothingNew(t *testing.T) {
+	i := serving(t, 2, 4)
+	leaving := engine(0, 4)
+	leaving.Endpoint.Leaving = true
+	i.change(leaving)
+	for range 4 {
+		must.Eq(t, "e1", i.dispatched[i.arrive(route("r", 0), nil)].Endpoint.ID)
+	}
+	i.change(directory.Change{EndpointID: "e1"})
+	must.Eq(t, NoEndpoint, i.refusal(i.arrive(route("r", 0), nil)).Reason)
+}
+
+// Load pattern: the platform is away and comes back with entries missing that
+// had lapsed. Live endpoints go on until they are listed again; others end.
+func TestLapsedEntriesAreKeptForAMoment(t *testing.T) {
+	i := serving(t, 2, 4)
+	i.passAlone(4 * time.Second)
+	i.list(directory.Change{EndpointID: "e0", Endpoint: engine(0, 4).Endpoint})
+	must.MapLen(t, 2, i.s.endpoints)
+	i.pass(time.Second)
+	must.MapLen(t, 2, i.s.endpoints)
+	i.pass(time.Second)
+	must.MapLen(t, 1, i.s.endpoints)
+	// Without an outage, what is not listed is gone.
+	i.pass(5 * time.Second)
+	i.list()
+	must.MapEmpty(t, i.s.endpoints)
+}
+
+// An entry of an earlier start must not replace a later one.
+func TestOlderIncarnationIsNotTaken(t *testing.T) {
+	i := serving(t, 1, 4)
+	newer := engine(0, 4)
+	newer.Endpoint.Started = 5
+	newer.Endpoint.Address = "10.9.9.9:1"
+	i.change(newer)
+	i.change(engine(0, 4))
+	must.Eq(t, "10.9.9.9:1", i.s.endpoints["e0"].Address)
+}
+
+func TestLoadOfOtherInstancesCounts(t *testing.T) {
+	i := serving(t, 2, 4)
+	i.step(PeerReported{Report: Report{
+		Incarnation: 2, Sequence: 1, Address: "10.0.0.2:1", Loads: []EndpointLoad{{"e0", 5}},
+	}})
+	for range 4 {
+		must.Eq(t, "e1", i.dispatched[i.arrive(route("r", 0), nil)].Endpoint.ID)
+	}
+	// An instance that falls silent takes its load with it.
+	i.pass(5 * time.Second)
+	must.MapEmpty(t, i.s.endpoints["e0"].others)
+}
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -10,6 +10,15 @@
 	// debtLimit is the largest debt of a bucket, in seconds of its rate: what
 	// instances may admit before they know of each other's admissions.
 	debtLimit = 2.0
+	// leastReserve is the part of a full bucket that the most urgent requests
+	// leave to those that cost little. reserveShare is the further part that
+	// is kept for urgent requests, reserveSteps the number of ranks over which
+	// it is divided.
+	leastReserve = 0.08
+	reserveShare = 0.5
+	reserveSteps = 2
+	// costWeight is the weight of a new sample in the mean cost.
+	costWeight = 0.02
 )
 
 // bucket is this instance's view of an organisation's token bucket, which all
@@ -21,15 +30,39 @@
 	at          Instant
 	// used is the sum of this instance's own charges.
 	used float64
+	// part is the part of the quota that the instances in reach may use.
+	part float64
+	// meanCost is the moving average of what requests cost.
+	meanCost float64
 }
 
-// fill adds what has accrued. parts is the part of the whole rate that the
+// fill adds what has accrued. part is the part of the whole quota that the
 // instances in reach may use.
 func (b *bucket) fill(now Instant, part float64) {
-	b.level = min(b.level+b.rate*part*now.Sub(b.at).Seconds(), b.burst)
+	b.part = part
+	b.level = min(b.level+b.rate*part*now.Sub(b.at).Seconds(), b.burst*part)
 	b.at = now
 }
 
+// reserve is the level that a request must leave to more urgent ones. Where
+// an organisation asks for more than its quota, urgent requests then get it
+// first. A request that costs little needs to leave little.
+func (b *bucket) reserve(priority int, cost float64) float64 {
+	if b.meanCost <= 0 {
+		return 0
+	}
+	share := leastReserve + reserveShare*float64(min(priority, reserveSteps))/reserveSteps
+	return share * b.burst * b.part * min(1, cost/b.meanCost)
+}
+
+// observe notes the cost of a request that was asked for.
+func (b *bucket) observe(cost float64) {
+	if b.meanCost == 0 {
+		b.meanCost = cost
+	}
+	b.meanCost += costWeight * (cost - b.meanCost)
+}
+
 func (b *bucket) pay(cost float64) {
 	b.level = max(b.level-cost, -debtLimit*b.rate)
 }
@@ -64,21 +97,25 @@
 }
 
 // quotaWait returns how long the organisation must wait for its quota, or
-// zero if the request is inside it. A bucket that is not empty admits, whatever
-// the cost: the debt is paid back before the next.
+// zero if the request is inside it. A bucket above the request's reserve
+// admits, whatever the cost: the debt is paid back before the next.
 func (s *State) quotaWait(r *request) time.Duration {
 	if r.Organisation == nil || r.Organisation.Quota.RatePerSecond <= 0 {
 		return 0
 	}
 	b := s.quotas[r.Organisation.Name]
-	if b == nil {
+	if b == nil || b.rate <= 0 {
 		return 0
 	}
+	cost := r.cost()
+	b.observe(cost)
+	s.members.demand.add(cost)
 	b.fill(s.now, s.members.quotaPart(s.now))
-	if b.level > 0 || b.rate <= 0 {
+	missing := b.reserve(r.Route.Priority, cost) - b.level
+	if missing < 0 {
 		return 0
 	}
-	return time.Duration(-b.level / b.rate * float64(time.Second))
+	return time.Duration(missing/(b.rate*b.part)*float64(time.Second)) + time.Millisecond
 }
 
 func (s *State) charge(r *request) {
@@ -98,7 +135,7 @@
 		return
 	}
 	if b := s.quotas[r.Organisation.Name]; b != nil {
-		b.level = min(b.level+r.charged, b.burst)
+		b.level = min(b.level+r.charged, b.burst*b.part)
 		b.used -= r.charged
 	}
 	r.charged = 0
--- /dev/null
+++ b/internal/scheduler/quota_test.go
@@ -0,0 +1,294 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/routing"
+	"github.com/shoenig/test/must"
+)
+
+const (
+	testRate  = 100_000.0
+	testBurst = 100_000.0
+	// The bound on an organisation's use in each window, as deployments state
+	// it: (rate x window + burst) x (1 + overshoot) + slack.
+	testWindow    = 8 * time.Second
+	testOvershoot = 0.25
+	testSlack     = 0.39 * testRate
+)
+
+func quotaConfig() routing.Config {
+	return routing.Config{Version: 1, Organisations: []routing.Organisation{{
+		Name: "org", Quota: routing.Quota{RatePerSecond: testRate, Burst: testBurst, InTokens: true, DefaultTokens: 200},
+	}}}
+}
+
+// fleet is several instances that send reports over links which may be cut.
+type fleet struct {
+	t         *testing.T
+	rand      *rand.Rand
+	now       Instant
+	config    routing.Config
+	instances []*instance
+	// group numbers the side of a cut on which each instance is.
+	group    []int
+	admitted []admission
+	starts   uint64
+	loss     float64
+}
+
+type admission struct {
+	at   Instant
+	cost float64
+}
+
+func newFleet(t *testing.T, n int, seed uint64) *fleet {
+	f := &fleet{t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: Instant(time.Hour), config: quotaConfig(), loss: 0.02}
+	f.instances = make([]*instance, n)
+	f.group = make([]int, n)
+	for k := range n {
+		f.start(k)
+	}
+	return f
+}
+
+func address(k int) string { return fmt.Sprintf("10.0.0.%d:1", k+1) }
+
+// start replaces an instance by a fresh one.
+func (f *fleet) start(k int) {
+	f.starts++
+	cfg := testConfig()
+	cfg.Address = address(k)
+	cfg.Incarnation = f.starts
+	cfg.Seed = f.starts
+	cfg.Seeds = []string{address(0), address(1), address(2)}
+	i := newInstance(f.t, cfg)
+	i.now = f.now
+	i.s = New(cfg, f.now)
+	i.configure(f.config)
+	i.change(engines(4, 100_000)...)
+	f.instances[k] = i
+}
+
+func (f *fleet) org() *routing.Organisation { return &f.config.Organisations[0] }
+
+// tick lets one tick pass: arrivals at every instance, then their reports.
+func (f *fleet) tick(demand []float64) {
+	f.now = f.now.Add(TickInterval)
+	for k, i := range f.instances {
+		i.now = f.now
+		i.confirm()
+		i.step(Tick{})
+		f.arrivals(i, demand[k])
+	}
+	for k, i := range f.instances {
+		for _, r := range i.reports {
+			f.deliver(k, r)
+		}
+		i.reports = nil
+	}
+}
+
+func (f *fleet) arrivals(i *instance, demand float64) {
+	const cost = 1000
+	expected := demand * TickInterval.Seconds() / cost
+	n := int(expected)
+	if f.rand.Float64() < expected-float64(n) {
+		n++
+	}
+	for range n {
+		id := i.arrive(route("r", 0), func(q *Request) { q.Organisation, q.Tokens = f.org(), cost })
+		if i.running(id) {
+			f.admitted = append(f.admitted, admission{f.now, cost})
+			i.end(id, Attempt{Outcome: Completed})
+		}
+	}
+}
+
+func (f *fleet) deliver(from int, r SendReport) {
+	for _, to := range r.To {
+		for k, other := range f.instances {
+			if address(k) == to && f.group[k] == f.group[from] && f.rand.Float64() >= f.loss {
+				other.step(PeerReported{Report: r.Report})
+			}
+		}
+	}
+}
+
+// worst returns the most that was admitted in any window.
+func (f *fleet) worst() float64 {
+	worst, sum, first := 0.0, 0.0, 0
+	for _, a := range f.admitted {
+		sum += a.cost
+		for a.at.Sub(f.admitted[first].at) > testWindow {
+			sum -= f.admitted[first].cost
+			first++
+		}
+		worst = max(worst, sum)
+	}
+	return worst
+}
+
+func (f *fleet) total(from, to Instant) float64 {
+	sum := 0.0
+	for _, a := range f.admitted {
+		if a.at > from && a.at <= to {
+			sum += a.cost
+		}
+	}
+	return sum
+}
+
+func bound() float64 {
+	return (testRate*testWindow.Seconds()+testBurst)*(1+testOvershoot) + testSlack
+}
+
+// Load pattern: one organisation asks for several times its quota at all
+// instances, unevenly, while instances are killed, cut into groups and healed.
+// The figure of the whole must hold in every window.
+func TestQuotaHoldsUnderDrawnFaults(t *testing.T) {
+	for seed := range uint64(30) {
+		f := newFleet(t, 6, seed)
+		demand := make([]float64, len(f.instances))
+		for tick := range 60 * int(time.Second/TickInterval) {
+			if tick%100 == 0 {
+				f.disturb(demand)
+			}
+			f.tick(demand)
+		}
+		must.LessEq(t, bound(), f.worst(), must.Sprintf("seed %d", seed))
+	}
+}
+
+// disturb draws new demands and one fault or a healing.
+func (f *fleet) disturb(demand []float64) {
+	for k := range demand {
+		demand[k] = f.rand.Float64() * testRate
+	}
+	switch f.rand.IntN(6) {
+	case 0:
+		for k := range f.group {
+			f.group[k] = f.rand.IntN(2)
+		}
+	case 1:
+		for k := range f.group {
+			f.group[k] = k
+		}
+	case 2:
+		f.start(f.rand.IntN(len(f.instances)))
+	case 3:
+		for k := range f.instances {
+			f.start(k)
+		}
+	default:
+		clear(f.group)
+	}
+}
+
+// Load pattern: demand at twice the quota, no faults. What is inside the quota
+// is not refused, wherever it arrives.
+func TestQuotaIsUsedWholeWhereverItIsAskedFor(t *testing.T) {
+	f := newFleet(t, 6, 1)
+	demand := []float64{2 * testRate, 0, 0, 0, 0, 0}
+	for range 20 * int(time.Second/TickInterval) {
+		f.tick(demand)
+	}
+	half := f.now.Add(-10 * time.Second)
+	must.Greater(t, 0.97*10*testRate, f.total(half, f.now))
+	must.Less(t, 1.05*10*testRate, f.total(half, f.now))
+}
+
+// Load pattern: a cut isolates the instance that most of the demand reaches.
+// It keeps the larger part of the quota.
+func TestCutInstanceKeepsThePartThatItsDemandHad(t *testing.T) {
+	f := newFleet(t, 6, 1)
+	demand := []float64{0.6 * testRate, 0.05 * testRate, 0.05 * testRate, 0.05 * testRate, 0.05 * testRate, 0.05 * testRate}
+	for range 10 * int(time.Second/TickInterval) {
+		f.tick(demand)
+	}
+	f.group[0] = 1
+	for range 3 * int(time.Second/TickInterval) {
+		f.tick(demand)
+	}
+	start := f.now
+	for range 5 * int(time.Second/TickInterval) {
+		f.tick(demand)
+	}
+	must.Greater(t, 0.95*5*0.85*testRate, f.total(start, f.now))
+}
+
+// Load pattern: a fresh instance that hears no other. It admits a small part
+// of the quota.
+func TestLoneFreshInstanceAdmitsLittle(t *testing.T) {
+	f := newFleet(t, 6, 1)
+	for k := range f.group {
+		f.group[k] = k
+	}
+	demand := []float64{2 * testRate, 0, 0, 0, 0, 0}
+	for range 8 * int(time.Second/TickInterval) {
+		f.tick(demand)
+	}
+	must.Less(t, 8*testRate/loneParts*1.1, f.total(0, f.now))
+}
+
+// Load pattern: an organisation asks for more than its quota with requests of
+// several ranks. The urgent ones get it; a request that costs little gets in
+// as well.
+func TestUrgentRequestsGetTheQuotaFirst(t *testing.T) {
+	i := newInstance(t, testConfig())
+	config := quotaConfig()
+	i.configure(config)
+	i.change(engines(4, 100_000)...)
+	o := &config.Organisations[0]
+	served := map[string]float64{}
+	routes := []*routing.Route{route("urgent", 0), route("low", 2), route("cheap", 2)}
+	costs := map[string]int{"urgent": 3000, "low": 3000, "cheap": 100}
+	asked := 0.0
+	for tick := range 30 * int(time.Second/TickInterval) {
+		i.now = i.now.Add(TickInterval)
+		i.confirm()
+		i.step(Tick{})
+		for _, r := range routes {
+			if tick%3 == 0 {
+				continue
+			}
+			asked++
+			id := i.arrive(r, func(q *Request) { q.Organisation, q.Tokens = o, costs[r.Name] })
+			if i.running(id) {
+				served[r.Name]++
+				i.end(id, Attempt{Outcome: Completed})
+			}
+		}
+	}
+	each := asked / 3
+	must.Greater(t, 0.9*each, served["urgent"], must.Sprint(served))
+	must.Greater(t, 0.9*each, served["cheap"], must.Sprint(served))
+	must.Less(t, served["urgent"]/2, served["low"], must.Sprint(served))
+}
+
+func TestRefusedWorkIsNotCharged(t *testing.T) {
+	i := newInstance(t, testConfig())
+	config := quotaConfig()
+	i.configure(config)
+	i.change(engine(0, 1))
+	i.pass(2 * time.Second)
+	i.s.usageReport()
+	level := i.s.quotas["org"].level
+	o := &config.Organisations[0]
+	for range 10 {
+		i.arrive(route("r", 0), func(q *Request) { q.Organisation, q.Tokens = o, 1000 })
+	}
+	must.Eq(t, level-10_000, i.s.quotas["org"].level)
+	i.pass(time.Second)
+	must.Eq(t, float64(1+endpointDepth)*1000, i.s.quotas["org"].used)
+}
+
+func TestUnreadableTokensCostTheDefault(t *testing.T) {
+	r := request{Request: Request{Organisation: &quotaConfig().Organisations[0]}}
+	must.Eq(t, 200, r.cost())
+	r.Tokens = 7
+	must.Eq(t, 7, r.cost())
+}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -198,7 +198,7 @@
 		return AttemptsUsed
 	case s.crashSuspect(r.Fingerprint):
 		return CrashSuspect
-	case !p.budget.allows(s.now, s.cfg.Bounds, s.members.parts()):
+	case !p.budget.allows(s.now, s.cfg.Bounds, s.members.parts(s.now)):
 		return RetryBudgetUsed
 	}
 	return ""
--- /dev/null
+++ b/internal/scheduler/request_test.go
@@ -0,0 +1,135 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/routing"
+	"github.com/shoenig/test/must"
+)
+
+func unsafeRoute() *routing.Route {
+	r := route("unsafe", 0)
+	r.Kind = routing.Unsafe
+	r.Resumable = false
+	return r
+}
+
+// A request that must not run twice is sent again only where it is certain
+// that it did not run.
+func TestUnsafeRequestsAreRepeatedOnlyIfTheyDidNotRun(t *testing.T) {
+	for _, c := range []struct {
+		outcome Outcome
+		again   bool
+	}{
+		{NotSent, true}, {NotRun, true}, {Misdirected, true}, {Broken, false}, {Failed, false},
+	} {
+		i := serving(t, 2, 4)
+		id := i.arrive(unsafeRoute(), nil)
+		i.end(id, Attempt{Outcome: c.outcome})
+		must.Eq(t, c.again, i.running(id), must.Sprint(c.outcome))
+		if !c.again {
+			must.Eq(t, NotRepeatable, i.refusal(id).Reason)
+			must.False(t, i.refusal(id).NotRun)
+			must.Eq(t, 0, i.refusal(id).RetryAfter)
+		}
+	}
+}
+
+func TestRepeatsGoToAnotherEndpointAndAreBounded(t *testing.T) {
+	i := serving(t, 3, 4)
+	id := i.arrive(route("r", 0), nil)
+	first := i.dispatched[id].Endpoint.ID
+	i.end(id, Attempt{Outcome: Broken})
+	second := i.dispatched[id].Endpoint.ID
+	must.NotEq(t, first, second)
+	i.end(id, Attempt{Outcome: Broken})
+	must.Eq(t, AttemptsUsed, i.refusal(id).Reason)
+	must.MapEmpty(t, i.s.requests)
+}
+
+// Load pattern: every endpoint breaks every answer. Repeats stay inside this
+// instance's part of the budget.
+func TestRepeatsStayInsideTheBudget(t *testing.T) {
+	i := serving(t, 40, 100)
+	repeats := 0
+	const requests = 1000
+	for range requests {
+		id := i.arrive(route("r", 0), nil)
+		if !i.running(id) {
+			continue
+		}
+		i.end(id, Attempt{Outcome: Failed})
+		if i.running(id) {
+			repeats++
+			i.end(id, Attempt{Outcome: Failed})
+		}
+	}
+	must.Greater(t, requests/10, repeats)
+	must.LessEq(t, requests/5+50, repeats)
+}
+
+// A refusal after the request may have run must not say that it has not.
+func TestRefusalsAreTruthful(t *testing.T) {
+	i := serving(t, 1, 4)
+	id := i.arrive(route("r", 0), nil)
+	i.end(id, Attempt{Outcome: Broken})
+	i.pass(6 * time.Second)
+	got := i.refusal(id)
+	must.Eq(t, DeadlinePassed, got.Reason)
+	must.False(t, got.NotRun)
+}
+
+func TestCallerThatLeavesFreesItsPlace(t *testing.T) {
+	i := serving(t, 1, 1)
+	var ids []RequestID
+	for range 1 + endpointDepth + 2 {
+		ids = append(ids, i.arrive(route("r", 0), nil))
+	}
+	waiting, next := ids[len(ids)-2], ids[len(ids)-1]
+	i.step(CallerGone{ID: waiting})
+	i.end(ids[0], Attempt{Outcome: Abandoned})
+	must.True(t, i.running(next))
+	// A dispatch that crossed the caller's leaving is undone.
+	i.step(CallerGone{ID: next})
+	must.Eq(t, endpointDepth, i.s.endpoints["e0"].mine)
+}
+
+// Load pattern: one request crashes each endpoint that runs it and comes
+// again. It is refused from the third crash on, here and at other instances.
+func TestRequestThatCrashesEndpointsIsContained(t *testing.T) {
+	i := serving(t, 9, 4)
+	poison := func(q *Request) { q.Fingerprint = 666 }
+	crashed := 0
+	for range 4 {
+		id := i.arrive(route("r", 0), poison)
+		for i.running(id) {
+			crashed++
+			i.end(id, Attempt{Outcome: Broken})
+		}
+		i.pass(3 * time.Second)
+	}
+	must.LessEq(t, crashLimit+1, crashed)
+	got := i.refusal(i.arrive(route("r", 0), poison))
+	must.Eq(t, CrashSuspect, got.Reason)
+	must.True(t, got.NotRun)
+
+	other := serving(t, 2, 4)
+	other.step(PeerReported{Report: Report{Incarnation: 9, Sequence: 1, Address: "10.0.0.9:1", Crashes: i.s.crashReport()}})
+	must.Eq(t, CrashSuspect, other.refusal(other.arrive(route("r", 0), poison)).Reason)
+	must.True(t, other.running(other.arrive(route("r", 0), nil)))
+}
+
+func TestRetryAfterIsSpreadInsideWhatTheCallerCanSpare(t *testing.T) {
+	i := newInstance(t, testConfig())
+	i.configure(routing.Config{Version: 1})
+	seen := map[time.Duration]bool{}
+	for range 100 {
+		got := i.refusal(i.arrive(route("r", 0), func(q *Request) { q.CallerDeadline = i.now.Add(time.Second) }))
+		must.Eq(t, NoEndpoint, got.Reason)
+		must.Less(t, time.Second/3, got.RetryAfter)
+		must.Greater(t, 100*time.Millisecond, got.RetryAfter)
+		seen[got.RetryAfter.Round(10*time.Millisecond)] = true
+	}
+	must.Greater(t, 8, len(seen))
+}
