--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -44,8 +44,9 @@
 	heard       Instant
 	// used is what the member had admitted by its last report.
 	used map[string]float64
-	// younger members started after this instance did.
-	younger bool
+	// younger members started after this instance did, old ones were past
+	// their youth when they were first heard.
+	younger, old bool
 	// demand is what is asked of the member, in cost a second.
 	demand float64
 }
@@ -65,7 +66,7 @@
 	// this one was young.
 	toldKnown int
 	next      int
-	demand demand
+	demand    demand
 	// weights are the instances' parts of all demand, by address, as they were
 	// when all known instances were last in reach. Instances that are cut off
 	// from each other then divide a quota by the same figures.
@@ -136,7 +137,7 @@
 			n++
 		}
 	}
-	if now.Sub(m.started) > youth || m.alone() {
+	if !m.young(now) || m.alone() {
 		return n
 	}
 	if m.toldKnown == 0 {
@@ -145,6 +146,11 @@
 	return max(n, m.toldKnown)
 }
 
+func (m *members) young(now Instant) bool { return now.Sub(m.started) <= youth }
+
+// allYoung reports whether no instance is known that has been there for long.
+func (m *members) allYoung(now Instant) bool { return m.young(now) && m.toldKnown == 0 }
+
 // parts is the number of instances among which a shared allowance is divided.
 func (m *members) parts(now Instant) int { return m.known(now) }
 
@@ -321,7 +327,7 @@
 		s.log("instance_reached", "address", r.Address, "silent_ms", s.now.Sub(x.heard).Milliseconds())
 	}
 	m.joined = true
-	if r.Age > youth && s.now.Sub(m.started) <= youth {
+	if r.Age > youth && m.young(s.now) {
 		m.toldKnown = max(m.toldKnown, r.Known)
 	}
 	x.sequence = r.Sequence
@@ -339,7 +345,7 @@
 	}
 	x := &member{
 		address: r.Address, incarnation: r.Incarnation,
-		used: map[string]float64{}, younger: r.Age < s.now.Sub(s.started),
+		used: map[string]float64{}, younger: r.Age < s.now.Sub(s.started), old: r.Age > youth,
 	}
 	s.members.byAddress[r.Address] = x
 	s.log("instance_joined", "address", r.Address, "incarnation", r.Incarnation, "age_ms", r.Age.Milliseconds())
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -17,6 +17,10 @@
 	leastReserve = 0.08
 	reserveShare = 0.5
 	reserveSteps = 2
+	// freshLevel is the part of a full bucket with which instances begin that
+	// all start anew: each time they were away for longer than it takes to
+	// fill it.
+	freshLevel = 0.5
 	// costWeight is the weight of a new sample in the mean cost.
 	costWeight = 0.02
 )
@@ -34,6 +38,8 @@
 	part float64
 	// meanCost is the moving average of what requests cost.
 	meanCost float64
+	// adopted is set once an instance that was there before told its level.
+	adopted bool
 }
 
 // fill adds what has accrued. part is the part of the whole quota that the
@@ -67,19 +73,24 @@
 	b.level = max(b.level-cost, -debtLimit*b.rate)
 }
 
-// adoptQuotas follows a changed configuration. A new bucket is empty: nobody
-// knows what was admitted before.
+// adoptQuotas follows a changed configuration. A new bucket is not full:
+// nobody knows what was admitted before.
 func (s *State) adoptQuotas() {
 	for _, o := range s.table.Organisations() {
 		b := s.quotas[o.Name]
-		if b == nil {
+		fresh := b == nil
+		if fresh {
 			b = &bucket{at: s.now}
 			s.quotas[o.Name] = b
 		}
-		b.fill(s.now, s.members.quotaPart(s.now))
+		part := s.members.quotaPart(s.now)
+		b.fill(s.now, part)
 		b.rate = o.Quota.RatePerSecond
 		b.burst = max(o.Quota.Burst, b.rate*TickInterval.Seconds())
 		b.level = min(b.level, b.burst)
+		if fresh && s.members.allYoung(s.now) {
+			b.level = freshLevel * b.burst * part
+		}
 	}
 }
 
@@ -166,6 +177,14 @@
 		last, known := m.used[u.Organisation]
 		m.used[u.Organisation] = u.Used
 		switch {
+		case !b.adopted && m.old && s.members.young(s.now):
+			b.level = u.Level - b.used
+			// While others are still to be heard, the level is cut to a part.
+			b.adopted = b.part >= 1
+		case !known && !m.old && s.members.young(s.now):
+			// Both began with a part of their own; the level is the whole's.
+			b.level = max(b.level, freshLevel*b.burst*b.part)
+			b.pay(u.Used)
 		case joining, !known && !m.younger:
 			// What was admitted while the two did not hear each other was paid
 			// for by the parts of the rate that each kept to.
