--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -191,7 +191,12 @@
 func (x *exchange) stream(answer *endpoint.Answer, sent time.Time, a *scheduler.Attempt) {
 	defer answer.Body.Close()
 	x.events.first = time.Time{}
+	told := false
 	err := x.events.copy(answer.Body, func(events []byte) error {
+		if !told {
+			told = true
+			x.h.post(scheduler.AnswerBegun{ID: x.id})
+		}
 		if !x.begun {
 			x.begin(answer.Status, answer.Header)
 		}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -284,6 +284,7 @@
 		Service:        x.route.Pick(h.draw()),
 		Version:        table.Version(),
 		Tokens:         x.head.PromptTokens + x.head.OutputTokens,
+		PromptTokens:   x.head.PromptTokens,
 		Fingerprint:    x.fingerprint(),
 		CallerDeadline: now.Add(patience),
 		Deadline:       now.Add(left),
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -26,7 +26,7 @@
 		m.Usage = append(m.Usage, &gossippb.Usage{Organisation: u.Organisation, Used: u.Used, Level: u.Level})
 	}
 	for _, l := range r.Loads {
-		m.Loads = append(m.Loads, &gossippb.EndpointLoad{Endpoint: l.Endpoint, Running: uint32(l.Running)})
+		m.Loads = append(m.Loads, &gossippb.EndpointLoad{Endpoint: l.Endpoint, Running: uint32(l.Running), Prefill: uint32(l.Prefill)})
 	}
 	for _, c := range r.Crashes {
 		m.Crashes = append(m.Crashes, &gossippb.Crash{Fingerprint: c.Fingerprint, Count: uint32(c.Count)})
@@ -58,7 +58,7 @@
 		r.Usage = append(r.Usage, scheduler.Usage{Organisation: u.GetOrganisation(), Used: u.GetUsed(), Level: u.GetLevel()})
 	}
 	for _, l := range m.GetLoads() {
-		r.Loads = append(r.Loads, scheduler.EndpointLoad{Endpoint: l.GetEndpoint(), Running: int(l.GetRunning())})
+		r.Loads = append(r.Loads, scheduler.EndpointLoad{Endpoint: l.GetEndpoint(), Running: int(l.GetRunning()), Prefill: int(l.GetPrefill())})
 	}
 	for _, c := range m.GetCrashes() {
 		r.Crashes = append(r.Crashes, scheduler.Crash{Fingerprint: c.GetFingerprint(), Count: int(c.GetCount())})
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -29,8 +29,11 @@
 	slots int
 	// mine holds this instance's requests at the endpoint.
 	mine int
-	// others is how many requests other instances have there, by incarnation.
-	others map[uint64]int
+	// prefill is the number of prompt tokens of this instance's requests there
+	// that have not begun to answer.
+	prefill int
+	// others is what other instances have there, by incarnation.
+	others map[uint64]EndpointLoad
 	// lapsed is when the entry was first missing after an outage; zero while
 	// it is listed.
 	lapsed Instant
@@ -62,8 +65,17 @@
 // load is the number of requests at the endpoint, as far as it is known.
 func (e *endpoint) load() int {
 	sum := e.mine
-	for _, n := range e.others {
-		sum += n
+	for _, l := range e.others {
+		sum += l.Running
+	}
+	return sum
+}
+
+// backlog is the number of prompt tokens that the endpoint is still to read.
+func (e *endpoint) backlog() int {
+	sum := e.prefill
+	for _, l := range e.others {
+		sum += l.Prefill
 	}
 	return sum
 }
@@ -78,7 +90,7 @@
 		if e != nil {
 			s.removeEndpoint(e)
 		}
-		e = &endpoint{others: map[uint64]int{}, slowness: 1}
+		e = &endpoint{others: map[uint64]EndpointLoad{}, slowness: 1}
 		s.endpoints[entry.ID] = e
 	}
 	changed := fresh || e.Leaving != entry.Leaving
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -24,8 +24,9 @@
 	// Version is the configuration's by which the route was found.
 	Version int64
 	// Tokens is the prompt's length plus the longest answer; zero if the
-	// request names none.
-	Tokens int
+	// request names none. PromptTokens is the prompt's alone.
+	Tokens       int
+	PromptTokens int
 	// Fingerprint is equal for requests of the same caller, path and body.
 	Fingerprint uint64
 	// CallerDeadline is when the caller gives up, Deadline the earlier of that
@@ -90,6 +91,8 @@
 	// CallerGone: the caller left, or its time ran out, while the request
 	// waited here.
 	CallerGone struct{ ID RequestID }
+	// AnswerBegun: the first event of a stream has come.
+	AnswerBegun struct{ ID RequestID }
 	// AttemptEnded: an attempt that Dispatch asked for is over.
 	AttemptEnded struct {
 		ID      RequestID
@@ -109,6 +112,7 @@
 
 func (Arrived) event()       {}
 func (CallerGone) event()    {}
+func (AnswerBegun) event()   {}
 func (AttemptEnded) event()  {}
 func (DirectoryRead) event() {}
 func (PeerReported) event()  {}
@@ -159,6 +163,9 @@
 type EndpointLoad struct {
 	Endpoint string
 	Running  int
+	// Prefill is the number of prompt tokens of those that have not begun to
+	// answer.
+	Prefill int
 }
 
 // Crash counts the endpoints that a request broke.
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -299,7 +299,7 @@
 	var out []EndpointLoad
 	for _, e := range s.endpoints {
 		if e.mine > 0 {
-			out = append(out, EndpointLoad{Endpoint: e.ID, Running: e.mine})
+			out = append(out, EndpointLoad{Endpoint: e.ID, Running: e.mine, Prefill: e.prefill})
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Endpoint < out[j].Endpoint })
@@ -377,13 +377,13 @@
 }
 
 func (s *State) learnLoads(r Report) {
-	told := make(map[string]int, len(r.Loads))
+	told := make(map[string]EndpointLoad, len(r.Loads))
 	for _, l := range r.Loads {
-		told[l.Endpoint] = l.Running
+		told[l.Endpoint] = l
 	}
 	for id, e := range s.endpoints {
-		if n := told[id]; n > 0 {
-			e.others[r.Incarnation] = n
+		if l, ok := told[id]; ok {
+			e.others[r.Incarnation] = l
 		} else {
 			delete(e.others, r.Incarnation)
 		}
--- a/internal/scheduler/placement_test.go
+++ b/internal/scheduler/placement_test.go
@@ -162,7 +162,7 @@
 func TestLoadOfOtherInstancesCounts(t *testing.T) {
 	i := serving(t, 2, 4)
 	i.step(PeerReported{Report: Report{
-		Incarnation: 2, Sequence: 1, Address: "10.0.0.2:1", Loads: []EndpointLoad{{"e0", 5}},
+		Incarnation: 2, Sequence: 1, Address: "10.0.0.2:1", Loads: []EndpointLoad{{Endpoint: "e0", Running: 5}},
 	}})
 	for range 4 {
 		must.Eq(t, "e1", i.dispatched[i.arrive(route("r", 0), nil)].Endpoint.ID)
@@ -171,3 +171,21 @@
 	i.pass(5 * time.Second)
 	must.MapEmpty(t, i.s.endpoints["e0"].others)
 }
+
+// Load pattern: prompts that differ a hundredfold. A short request avoids the
+// endpoint that is reading a long prompt, until that one begins to answer.
+func TestShortRequestsAvoidLongPrompts(t *testing.T) {
+	i := serving(t, 2, 10)
+	long := i.arrive(route("r", 0), func(q *Request) { q.PromptTokens = 30_000 })
+	at := i.dispatched[long].Endpoint.ID
+	for range 5 {
+		id := i.arrive(route("r", 0), func(q *Request) { q.PromptTokens = 100 })
+		must.NotEq(t, at, i.dispatched[id].Endpoint.ID)
+	}
+	i.step(AnswerBegun{ID: long})
+	must.Eq(t, 0, i.s.endpoints[at].backlog())
+	id := i.arrive(route("r", 0), func(q *Request) { q.PromptTokens = 100 })
+	must.Eq(t, at, i.dispatched[id].Endpoint.ID)
+	i.end(long, Attempt{Outcome: Completed})
+	must.Eq(t, 100, i.s.endpoints[at].backlog())
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -76,7 +76,11 @@
 	// remoteCost is what another availability zone adds to an endpoint's cost,
 	// as a part of one slot's load: traffic between zones is charged for, and
 	// slower by a millisecond.
-	remoteCost = 0.35
+	remoteCost = 2.5
+	// backlogTokens is the number of prompt tokens still to be read that costs
+	// as much as a full endpoint: what an engine reads in about a tenth of a
+	// second, during which it produces nothing else.
+	backlogTokens = 8000.0
 	// failureCost is what an endpoint that spoils every answer adds.
 	failureCost = 3.0
 	// patientShare is how many dispatches a pool makes in order of rank before
@@ -152,7 +156,7 @@
 }
 
 func (s *State) cost(e *endpoint, load int) float64 {
-	cost := float64(load+1) * e.slowness / float64(e.slots)
+	cost := (float64(load+1)/float64(e.slots) + float64(e.backlog())/backlogTokens) * e.slowness
 	if e.Zone != s.cfg.Zone {
 		cost += remoteCost / float64(e.slots)
 	}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -15,6 +15,8 @@
 	tried []string
 	// at is where it runs; nil while it waits.
 	at *endpoint
+	// prefilling is set while the request runs and no answer has begun.
+	prefilling bool
 	// mayHaveRun is set once an endpoint may have begun to run the request.
 	mayHaveRun bool
 	// charged is what the organisation's quota was charged.
@@ -94,9 +96,32 @@
 	r.at = e
 	r.tried = append(r.tried, e.ID)
 	e.mine++
+	e.prefill += r.PromptTokens
+	r.prefilling = true
 	s.emit(Dispatch{ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued)})
 }
 
+// answerBegun notes that the endpoint has read the request's prompt.
+func (s *State) answerBegun(id RequestID) {
+	if r := s.requests[id]; r != nil && r.at != nil {
+		r.prefilled()
+	}
+}
+
+func (r *request) prefilled() {
+	if r.prefilling {
+		r.at.prefill -= r.PromptTokens
+		r.prefilling = false
+	}
+}
+
+// leave frees the request's place at its endpoint.
+func (r *request) leave() {
+	r.prefilled()
+	r.at.mine--
+	r.at = nil
+}
+
 // callerGone forgets a request that waits. Where a dispatch crossed the
 // event, nothing was sent.
 func (s *State) callerGone(id RequestID) {
@@ -105,9 +130,8 @@
 		return
 	}
 	p := s.pool(r.Service)
-	if e := r.at; e != nil {
-		e.mine--
-		r.at = nil
+	if r.at != nil {
+		r.leave()
 	} else {
 		p.dequeue(r)
 	}
@@ -144,8 +168,7 @@
 		return
 	}
 	e := r.at
-	r.at = nil
-	e.mine--
+	r.leave()
 	s.count(CounterOutcomes, a.Outcome.String())
 	s.observe(e, r, a)
 	if a.Outcome != NotSent && a.Outcome != NotRun && a.Outcome != Misdirected {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -83,6 +83,8 @@
 		s.arrived(ev.Request)
 	case CallerGone:
 		s.callerGone(ev.ID)
+	case AnswerBegun:
+		s.answerBegun(ev.ID)
 	case AttemptEnded:
 		s.attemptEnded(ev.ID, ev.Attempt)
 	case DirectoryRead:
