--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/directory"
-	"github.com/balsamstair/balsamstair/internal/scheduler"
 )
 
 // CallerHead is what a caller's headers say.
@@ -45,7 +44,6 @@
 	// Misdirected says that another endpoint has the address; it did not run
 	// the request.
 	Misdirected bool
-	Load        scheduler.Load
 }
 
 // Dialect translates between headers on the wire and the product's types.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -133,7 +133,7 @@
 		return x.sendFailed(err)
 	}
 	head := x.h.cfg.Dialect.AnswerHead(answer.Status, answer.Header)
-	a := scheduler.Attempt{Load: head.Load}
+	a := scheduler.Attempt{}
 	switch {
 	case head.Misdirected:
 		a.Outcome = scheduler.Misdirected
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -21,6 +21,7 @@
 		Members:     r.Members,
 		Demand:      r.Demand,
 		Known:       uint32(r.Known),
+		Zone:        r.Zone,
 	}
 	for _, u := range r.Usage {
 		m.Usage = append(m.Usage, &gossippb.Usage{Organisation: u.Organisation, Used: u.Used, Level: u.Level})
@@ -53,6 +54,7 @@
 		Members:     m.GetMembers(),
 		Demand:      m.GetDemand(),
 		Known:       int(m.GetKnown()),
+		Zone:        m.GetZone(),
 	}
 	for _, u := range m.GetUsage() {
 		r.Usage = append(r.Usage, scheduler.Usage{Organisation: u.GetOrganisation(), Used: u.GetUsed(), Level: u.GetLevel()})
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -38,6 +38,9 @@
 	// it is listed.
 	lapsed Instant
 	gone   bool
+	// home says that this instance, of those of its zone, is the one to prefer
+	// the endpoint.
+	home bool
 	// failures counts the failures in a row.
 	failures       int
 	suspendedUntil Instant
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -65,16 +65,9 @@
 // String returns the outcome as it is logged.
 func (o Outcome) String() string { return outcomeNames[o] }
 
-// Load is what an endpoint says of itself beside an answer.
-type Load struct {
-	Known                   bool
-	Running, Waiting, Slots int
-}
-
 // Attempt reports the end of one attempt.
 type Attempt struct {
 	Outcome Outcome
-	Load    Load
 	// FirstByte is the time from sending to the answer's first event or whole
 	// body; zero if there was none.
 	FirstByte time.Duration
@@ -132,6 +125,8 @@
 	Sequence    uint64
 	// Address is where the sender takes reports.
 	Address string
+	// Zone is the sender's availability zone.
+	Zone string
 	// Age is how long the sender has been running.
 	Age time.Duration
 	// Leaving instances take no new work.
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -23,6 +23,8 @@
 	// memberMemory is how long a member that is out of reach is counted as one
 	// that may be using its part of quotas elsewhere.
 	memberMemory = 45 * time.Second
+	// homesInterval is the time between two divisions of endpoints.
+	homesInterval = 500 * time.Millisecond
 	// probeInterval is the time between reports to addresses that don't
 	// answer.
 	probeInterval = 500 * time.Millisecond
@@ -39,9 +41,12 @@
 // member is another instance that was heard.
 type member struct {
 	address     string
+	zone        string
 	incarnation uint64
 	sequence    uint64
 	heard       Instant
+	// reported is when the member was last sent a report.
+	reported Instant
 	// used is what the member had admitted by its last report.
 	used map[string]float64
 	// younger members started after this instance did, old ones were past
@@ -54,11 +59,12 @@
 // members is the view of the other instances.
 type members struct {
 	self       string
+	zone       string
+	neighbours int
 	seeds      []string
 	started    Instant
 	byAddress  map[string]*member
 	probed     map[string]Instant
-	lastReport Instant
 	sequence   uint64
 	// joined is set once another instance was heard.
 	joined bool
@@ -104,23 +110,42 @@
 
 func newMembers(cfg Config, now Instant) members {
 	return members{
-		self: cfg.Address, seeds: cfg.Seeds, started: now,
+		self: cfg.Address, zone: cfg.Zone, seeds: cfg.Seeds, started: now,
 		byAddress: map[string]*member{}, probed: map[string]Instant{},
 	}
 }
 
-// interval is the time between two reports to a member.
-func (m *members) interval() time.Duration {
+// interval is the time between two reports to and from a member. Those of the
+// own zone, whose endpoints are shared most, hear of each other more often.
+func (m *members) interval(x *member) time.Duration {
 	n := len(m.byAddress)
+	if x.zone == m.zone {
+		n = m.neighbours
+	}
 	if n <= membersAtInterval {
 		return reportInterval
 	}
 	return reportInterval * time.Duration(n) / membersAtInterval
 }
 
-func (m *members) silence() time.Duration { return silentReports * m.interval() }
+func (m *members) inReach(x *member, now Instant) bool {
+	return now.Sub(x.heard) <= silentReports*m.interval(x)
+}
 
-func (m *members) inReach(x *member, now Instant) bool { return now.Sub(x.heard) <= m.silence() }
+// heardForQuota reports whether the member has told lately what it admits.
+func (m *members) heardForQuota(x *member, now Instant) bool {
+	return now.Sub(x.heard) <= quotaSilentReports*m.interval(x)
+}
+
+// countNeighbours counts the other instances of the own zone.
+func (m *members) countNeighbours() {
+	m.neighbours = 0
+	for _, x := range m.byAddress {
+		if x.zone == m.zone {
+			m.neighbours++
+		}
+	}
+}
 
 // alone reports whether the seeds name no other instance.
 func (m *members) alone() bool {
@@ -161,7 +186,7 @@
 	all := float64(m.known(now))
 	number, weight := 1.0, m.weight(m.self, all)
 	for a, x := range m.byAddress {
-		if now.Sub(x.heard) <= quotaSilentReports*m.interval() {
+		if m.heardForQuota(x, now) {
 			number++
 			weight += m.weight(a, all)
 		}
@@ -187,7 +212,7 @@
 	m.demand.update(now)
 	total := m.demand.perSecond
 	for _, x := range m.byAddress {
-		if now.Sub(x.heard) > quotaSilentReports*m.interval() {
+		if !m.heardForQuota(x, now) {
 			return
 		}
 		total += x.demand
@@ -218,18 +243,19 @@
 	m := &s.members
 	m.seeds = s.cfg.Seeds
 	s.forgetMembers()
+	m.countNeighbours()
+	m.updateWeights(s.now)
 	var to []string
-	if s.now.Sub(m.lastReport) >= m.interval() {
-		m.lastReport = s.now
-		m.updateWeights(s.now)
-		for _, a := range m.addresses() {
-			if m.inReach(m.byAddress[a], s.now) {
-				to = append(to, a)
-			}
+	for _, a := range m.addresses() {
+		x := m.byAddress[a]
+		if m.inReach(x, s.now) && s.now.Sub(x.reported) >= m.interval(x) {
+			x.reported = s.now
+			to = append(to, a)
 		}
 	}
 	to = append(to, s.probes()...)
 	s.sendReports(to)
+	s.assignHomes()
 }
 
 // probes returns the addresses, due for a probe, of seeds that were not heard
@@ -264,6 +290,7 @@
 		Incarnation: s.cfg.Incarnation,
 		Sequence:    m.sequence,
 		Address:     s.cfg.Address,
+		Zone:        s.cfg.Zone,
 		Age:         s.now.Sub(s.started),
 		Leaving:     s.leaving,
 		Demand:      m.demand.perSecond,
@@ -344,7 +371,7 @@
 		s.dropLoads(before.incarnation)
 	}
 	x := &member{
-		address: r.Address, incarnation: r.Incarnation,
+		address: r.Address, zone: r.Zone, incarnation: r.Incarnation, reported: s.now,
 		used: map[string]float64{}, younger: r.Age < s.now.Sub(s.started), old: r.Age > youth,
 	}
 	s.members.byAddress[r.Address] = x
--- a/internal/scheduler/placement_test.go
+++ b/internal/scheduler/placement_test.go
@@ -172,6 +172,26 @@
 	must.MapEmpty(t, i.s.endpoints["e0"].others)
 }
 
+// Load pattern: many instances, each with a few requests a second. Those of a
+// zone prefer different endpoints.
+func TestInstancesOfAZonePreferDifferentEndpoints(t *testing.T) {
+	i := serving(t, 12, 4)
+	for n := range 3 {
+		i.step(PeerReported{Report: Report{Incarnation: uint64(n + 2), Sequence: 1, Address: address(n + 1), Zone: "a"}})
+	}
+	i.pass(TickInterval)
+	home := map[string]bool{}
+	for id, e := range i.s.endpoints {
+		if e.home {
+			home[id] = true
+		}
+	}
+	must.Between(t, 1, len(home), 7)
+	for range home {
+		must.MapContainsKey(t, home, i.dispatched[i.arrive(route("r", 0), nil)].Endpoint.ID)
+	}
+}
+
 // Load pattern: prompts that differ a hundredfold. A short request avoids the
 // endpoint that is reading a long prompt, until that one begins to answer.
 func TestShortRequestsAvoidLongPrompts(t *testing.T) {
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -77,6 +77,10 @@
 	// as a part of one slot's load: traffic between zones is charged for, and
 	// slower by a millisecond.
 	remoteCost = 2.5
+	// awayCost is what an endpoint of the zone costs more whose home is another
+	// instance, in the same unit. Instances of a zone then work at different
+	// endpoints while there is room, and each knows most of its own.
+	awayCost = 1.0
 	// backlogTokens is the number of prompt tokens still to be read that costs
 	// as much as a full endpoint: what an engine reads in about a tenth of a
 	// second, during which it produces nothing else.
@@ -157,8 +161,11 @@
 
 func (s *State) cost(e *endpoint, load int) float64 {
 	cost := (float64(load+1)/float64(e.slots) + float64(e.backlog())/backlogTokens) * e.slowness
-	if e.Zone != s.cfg.Zone {
+	switch {
+	case e.Zone != s.cfg.Zone:
 		cost += remoteCost / float64(e.slots)
+	case !e.home:
+		cost += awayCost / float64(e.slots)
 	}
 	// A little noise keeps instances that see the same from choosing the same.
 	return cost + failureCost*e.failing + 0.02*s.rand.Float64()
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -51,6 +51,7 @@
 	quotas    map[string]*bucket
 	members   members
 	crashes   map[uint64]*crashCount
+	homesDue  Instant
 	leaving   bool
 	ready     bool
 }
