Two instances of a zone read the store for the others

Ruled out: longer waits (an instance's belief would be older than the bound on changes allows). Each answer of a reader is dated by the read it rests on, so that revocation stays as strict; an instance whose reader fails or is behind reads for itself.

--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -65,13 +66,16 @@
 	operator *operator.Server
 	counters *operator.Counters
 	watcher  *directory.Watcher
+	replica  *directory.Replica
+	plan     atomic.Pointer[directory.Plan]
 }
 
 func schedulerNow() scheduler.Instant { return scheduler.Instant(boottime.Now()) }
 
 func newRoutedDaemon(path string, set settings.Routed, log *logline.Logger) *routedDaemon {
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.Limits.MemoryMB<<20)))
-	d := &routedDaemon{path: path, set: set, log: log}
+	d := &routedDaemon{path: path, set: set, log: log, replica: directory.NewReplica()}
+	d.plan.Store(new(directory.Plan))
 	incarnation := ticket.NewIncarnation()
 	d.loop = gateway.NewLoop(scheduler.New(scheduler.Config{
 		Instance:    set.Instance,
@@ -111,9 +115,14 @@
 	})
 	d.operator = operator.New(operator.Config{Address: set.OperatorAddress, Counters: d.counters, Log: log.Named("operator")})
 	d.watcher = directory.NewWatcher(directory.WatcherConfig{
-		Source:  platform.NewStore(set.PlatformAddress, storeTransport()),
-		Now:     boottime.Now,
-		Updated: func(u directory.Update) { d.loop.Post(scheduler.DirectoryRead{Update: u}) },
+		Source:      platform.NewStore(set.PlatformAddress, storeTransport()),
+		Plan:        func() directory.Plan { return *d.plan.Load() },
+		RelayClient: &http.Client{Transport: storeTransport()},
+		Now:         boottime.Now,
+		Updated: func(u directory.Update) {
+			d.replica.Apply(u)
+			d.loop.Post(scheduler.DirectoryRead{Update: u})
+		},
 	})
 	d.loop.Use(d.handler.Carry, d.carry)
 	return d
@@ -146,6 +155,8 @@
 		d.gossip.Send(e.To, e.Report)
 	case scheduler.ReadyChanged:
 		d.operator.SetReady(e.Ready)
+	case scheduler.ReadFrom:
+		d.plan.Store(&e.Plan)
 	case scheduler.Logged:
 		d.log.Event(e.Event, e.Fields...)
 	case scheduler.Counted:
@@ -181,7 +192,13 @@
 	defer cancel()
 	ended := supervisor.ServeBackground(serving)
 	server := d.serveCallers(callers)
-	if err := d.serveMetrics(serving); err != nil {
+	if d.set.MetricsAddress != "" {
+		if err := d.serveInternal(serving, "metrics", d.set.MetricsAddress, d.operator); err != nil {
+			return err
+		}
+	}
+	relay := directory.RelayHandler(d.replica, boottime.Now)
+	if err := d.serveInternal(serving, "relay", d.set.GossipAddress, relay); err != nil {
 		return err
 	}
 	go d.watchSettings(serving)
@@ -214,21 +231,17 @@
 	return server
 }
 
-// serveMetrics serves the operator interface on its second address, if one is
-// set.
-func (d *routedDaemon) serveMetrics(ctx context.Context) error {
-	if d.set.MetricsAddress == "" {
-		return nil
-	}
-	l, err := net.Listen("tcp", d.set.MetricsAddress)
+// serveInternal serves what is not for callers, until ctx ends.
+func (d *routedDaemon) serveInternal(ctx context.Context, name, address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return errors.Wrap(err, "metrics listener")
+		return errors.Wrapf(err, "%s listener", name)
 	}
-	server := &http.Server{Handler: d.operator, ReadHeaderTimeout: callerHeaderTimeout, ErrorLog: d.log.Standard("metrics")}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: callerHeaderTimeout, ErrorLog: d.log.Standard(name)}
 	context.AfterFunc(ctx, func() { server.Close() })
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			d.log.Error("metrics_listener", "error", err.Error())
+			d.log.Error("listener", "name", name, "error", err.Error())
 		}
 	}()
 	return nil
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -51,6 +51,9 @@
 	Changes []Change
 	// Revision is where the next read continues.
 	Revision int64
+	// Age is by how much the answer is dated before the read began: zero from
+	// the platform itself.
+	Age time.Duration `json:"-"`
 }
 
 // Source is a client of the platform. Each call makes requests of its own and
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,17 @@
 	// watchWait is how long the platform may keep a poll waiting. It bounds the
 	// age of what an instance believes, at the price of a call a second.
 	watchWait = time.Second
+	// relayedWait replaces watchWait at an instance from which others read: what
+	// they believe is older by up to as much again.
+	relayedWait = 500 * time.Millisecond
+	// relayWait is how long another instance may keep a poll waiting: two of
+	// its own reads, the second of which began after the poll.
+	relayWait = 2*relayedWait + 200*time.Millisecond
+	// maxRelayAge is the age of another instance's answers from which on it
+	// counts as cut off from the platform, distrustTime how long the platform
+	// is then read itself.
+	maxRelayAge  = 1500 * time.Millisecond
+	distrustTime = 3 * time.Second
 	// answerSlack is added to a poll's own wait before it counts as lost: some
 	// fifty times the platform's usual time to answer, and short of the
 	// second that is left of the usual bound on applying a change (2 s).
@@ -26,9 +38,12 @@
 
 // Update is the outcome of one read.
 type Update struct {
-	// Asked is the moment at which the read began, by Config.Now: what the
-	// platform acknowledged before it is contained in the answer.
+	// Asked is the moment from which the answer is dated, by Config.Now: what
+	// the platform acknowledged before it is contained in the answer. It is the
+	// beginning of the read, or earlier where another instance answered.
 	Asked int64
+	// From names the instance that answered; it is empty for the platform.
+	From string
 	// Whole says that Batch lists everything, rather than changes.
 	Whole bool
 	Batch Batch
@@ -36,9 +51,23 @@
 	Err error
 }
 
+// Plan says from whom an instance reads.
+type Plan struct {
+	// Relay is the address of the instance to read from; empty means the
+	// platform.
+	Relay string
+	// Relayed says that other instances read from this one.
+	Relayed bool
+}
+
 // WatcherConfig describes a Watcher.
 type WatcherConfig struct {
+	// Source is the platform.
 	Source Source
+	// Plan says from whom to read; nil means always from the platform.
+	Plan func() Plan
+	// RelayClient makes the calls to other instances.
+	RelayClient *http.Client
 	// Now returns the time in nanoseconds by a clock that never steps.
 	Now func() int64
 	// Updated takes the outcome of each read.
@@ -51,6 +80,9 @@
 	listed   bool
 	revision int64
 	backoff  time.Duration
+	// distrustUntil is the time up to which the platform is read itself, since
+	// a relay failed or was behind.
+	distrustUntil int64
 }
 
 // NewWatcher returns a Watcher that reads nothing until Serve runs.
@@ -64,28 +96,49 @@
 			break
 		}
 		w.cfg.Updated(update)
-		if update.Err != nil && !errors.Is(update.Err, ErrHistoryLost) {
+		if update.Err != nil && update.From == "" && !errors.Is(update.Err, ErrHistoryLost) {
 			w.pause(ctx)
 		}
 	}
 	return ctx.Err()
 }
 
+// source chooses where to read, and how long a poll may wait there.
+func (w *Watcher) source() (source Source, from string, wait time.Duration) {
+	plan := Plan{}
+	if w.cfg.Plan != nil {
+		plan = w.cfg.Plan()
+	}
+	switch {
+	case plan.Relay != "" && w.cfg.Now() >= w.distrustUntil:
+		return &Relay{Address: plan.Relay, Client: w.cfg.RelayClient}, plan.Relay, relayWait
+	case plan.Relayed:
+		return w.cfg.Source, "", relayedWait
+	default:
+		return w.cfg.Source, "", watchWait
+	}
+}
+
 func (w *Watcher) read(ctx context.Context) Update {
-	update := Update{Asked: w.cfg.Now(), Whole: !w.listed}
+	source, from, wait := w.source()
+	update := Update{Asked: w.cfg.Now(), Whole: !w.listed, From: from}
 	if update.Whole {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
-		update.Batch, update.Err = w.cfg.Source.List(ctx)
+		update.Batch, update.Err = source.List(ctx)
 	} else {
-		ctx, cancel := context.WithTimeout(ctx, watchWait+answerSlack)
+		ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 		defer cancel()
-		update.Batch, update.Err = w.cfg.Source.Watch(ctx, w.revision, watchWait)
+		update.Batch, update.Err = source.Watch(ctx, w.revision, wait)
+	}
+	update.Asked -= int64(update.Batch.Age)
+	if from != "" && (update.Err != nil || update.Batch.Age > maxRelayAge) {
+		w.distrustUntil = w.cfg.Now() + int64(distrustTime)
 	}
 	switch {
 	case update.Err == nil:
 		w.listed = true
-		w.revision = update.Batch.Revision
+		w.revision = max(w.revision, update.Batch.Revision)
 		w.backoff = 0
 	case errors.Is(update.Err, ErrHistoryLost):
 		w.listed = false
--- a/internal/scheduler/belief.go
+++ b/internal/scheduler/belief.go
@@ -31,7 +31,9 @@
 	resynced Instant
 }
 
-func (s *State) configAge() time.Duration { return s.now.Sub(max(s.belief.confirmed, 0)) }
+// configAge is the time since the configuration was known to be the newest;
+// since the start, if it never was.
+func (s *State) configAge() time.Duration { return s.now.Sub(max(s.belief.confirmed, s.started)) }
 
 // beliefStale reports whether a key may have been withdrawn longer ago than
 // the bound allows.
@@ -39,6 +41,9 @@
 	if s.cfg.Bounds.Revocation == 0 {
 		return false
 	}
+	if s.belief.confirmed == never {
+		return true
+	}
 	return s.configAge() > time.Duration(staleShare*float64(s.cfg.Bounds.Revocation))
 }
 
@@ -46,16 +51,20 @@
 	if u.Err != nil {
 		s.count(CounterReads, "failed")
 		if s.belief.problem == "" {
-			s.log("platform_lost", "error", u.Err.Error(), "config_age_ms", s.configAge().Milliseconds())
+			s.log("platform_lost", "error", u.Err.Error(), "relay", u.From, "config_age_ms", s.configAge().Milliseconds())
 		}
 		s.belief.problem = u.Err.Error()
 		return
 	}
-	s.count(CounterReads, "answered")
+	if u.From == "" {
+		s.count(CounterReads, "answered")
+	} else {
+		s.count(CounterReads, "relayed")
+	}
 	asked := Instant(u.Asked)
 	outage := s.belief.confirmed != never && s.now.Sub(s.belief.confirmed) > outageAge
 	if s.belief.problem != "" || s.belief.confirmed == never {
-		s.log("platform_reached", "revision", u.Batch.Revision, "config_age_ms", s.configAge().Milliseconds())
+		s.log("platform_reached", "revision", u.Batch.Revision, "relay", u.From, "config_age_ms", s.configAge().Milliseconds())
 	}
 	if outage {
 		s.belief.resynced = s.now
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -46,6 +46,8 @@
 		To     []string
 		Report Report
 	}
+	// ReadFrom: the platform's word is to be read as planned.
+	ReadFrom struct{ Plan directory.Plan }
 	// Logged: a decision or a changed belief is to be logged as key, value,
 	// key, value.
 	Logged struct {
@@ -66,6 +68,7 @@
 func (ConfigConfirmed) effect() {}
 func (ReadyChanged) effect()    {}
 func (SendReport) effect()      {}
+func (ReadFrom) effect()        {}
 func (Logged) effect()          {}
 func (Counted) effect()         {}
 
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -1,6 +1,11 @@
 package scheduler
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/cespare/xxhash/v2"
+)
 
 // assignHomes divides the zone's endpoints among its instances in reach by
 // rendezvous hashing. The division is a preference only, so instances need not
@@ -16,11 +21,37 @@
 			neighbours = append(neighbours, a)
 		}
 	}
+	s.planReading(neighbours)
 	for _, e := range s.endpoints {
 		e.home = e.Zone == s.cfg.Zone && rendezvous(e.ID, neighbours) == s.cfg.Address
 	}
 }
 
+// planReading lets two instances of a zone read the platform for all others, in
+// a system that is too large for each to read for itself.
+func (s *State) planReading(neighbours []string) {
+	plan := directory.Plan{}
+	if len(s.members.byAddress) > membersAtInterval && len(neighbours) > zoneReaders {
+		slices.Sort(neighbours)
+		first := rendezvous("reader", neighbours)
+		rest := slices.DeleteFunc(slices.Clone(neighbours), func(a string) bool { return a == first })
+		readers := []string{first, rendezvous("reader", rest)}
+		if slices.Contains(readers, s.cfg.Address) {
+			plan.Relayed = true
+		} else {
+			plan.Relay = rendezvous(s.cfg.Address, readers)
+		}
+	}
+	if plan != s.plan {
+		s.plan = plan
+		s.emit(ReadFrom{Plan: plan})
+		s.log("reading_planned", "relay", plan.Relay, "relayed", plan.Relayed)
+	}
+}
+
+// zoneReaders is the number of instances of a zone that read for the others.
+const zoneReaders = 2
+
 // rendezvous returns the candidate with the highest hash for a key.
 func rendezvous(key string, candidates []string) string {
 	best, bestHash := "", uint64(0)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/balsamstair/balsamstair/internal/routing"
 )
 
@@ -52,6 +53,7 @@
 	members   members
 	crashes   map[uint64]*crashCount
 	homesDue  Instant
+	plan      directory.Plan
 	leaving   bool
 	ready     bool
 }
