--- a/cmd/balsamctl/check.go
+++ b/cmd/balsamctl/check.go
@@ -13,7 +13,7 @@
 var checkCommand = &command{
 	name:     "check",
 	synopsis: "check declared files and settings",
-	usage:    "[-settings FILE] [FILE or DIRECTORY]...",
+	usage:    "[-settings FILE] [-routed FILE] [FILE or DIRECTORY]...",
 	about: `Check reads declared files and says whether balsamd would accept them, and
 otherwise everything that is wrong with them, each with its line, key and
 reason. Of a directory it reads every *.toml file in it and below. A manifest
@@ -30,17 +30,22 @@
 	set := checkCommand.flags(io)
 	var settingsFiles pathList
 	set.Var(&settingsFiles, "settings", "check the settings of a balsamd in `FILE`; may be given more than once")
+	var routedFiles pathList
+	set.Var(&routedFiles, "routed", "check the settings of a balsamd -routed in `FILE`; may be given more than once")
 	quiet := set.Bool("quiet", false, "print problems and warnings only")
 	if code, ok := checkCommand.parse(set, args, io); !ok {
 		return code
 	}
-	if set.NArg() == 0 && len(settingsFiles) == 0 {
+	if set.NArg() == 0 && len(settingsFiles)+len(routedFiles) == 0 {
 		return checkCommand.misused(set, io, "no file is named")
 	}
 	code := exitOK
 	for _, path := range settingsFiles {
 		code = max(code, checkSettings(path, *quiet, io))
 	}
+	for _, path := range routedFiles {
+		code = max(code, checkRouted(path, *quiet, io))
+	}
 	for _, path := range set.Args() {
 		code = max(code, checkPath(path, *quiet, io))
 	}
@@ -71,6 +76,17 @@
 	return exitOK
 }
 
+func checkRouted(path string, quiet bool, io streams) int {
+	s, err := settings.LoadRouted(path)
+	if err != nil {
+		return fail(io, path, err)
+	}
+	if !quiet {
+		fmt.Fprintf(io.out, "%s: ok, settings of instance %s in availability zone %s\n", path, s.Instance, s.AvailabilityZone)
+	}
+	return exitOK
+}
+
 // checkPath checks one file, or all of a directory.
 func checkPath(path string, quiet bool, io streams) int {
 	info, err := os.Stat(path)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -43,10 +43,14 @@
 	attempts int
 	endpoint string
 	waited   time.Duration
-	status   int
-	reason   scheduler.Reason
-	notRun   bool
-	outcome  scheduler.Outcome
+	// retryAfter is what a refused caller was told.
+	retryAfter time.Duration
+	status     int
+	reason     scheduler.Reason
+	notRun     bool
+	outcome    scheduler.Outcome
+	// basis is what decided about the request last.
+	basis []any
 }
 
 // wholeAnswer is an answer that was read to its end.
@@ -84,6 +88,7 @@
 	x.attempts = d.Attempt
 	x.endpoint = d.Endpoint.ID
 	x.waited += d.Waited
+	x.basis = d.Basis
 	a := x.send(d)
 	x.outcome = a.Outcome
 	x.h.post(scheduler.AttemptEnded{ID: x.id, Attempt: a})
@@ -301,6 +306,8 @@
 // refused ends the exchange by the scheduler's word.
 func (x *exchange) refused(d scheduler.Refuse) {
 	x.reason, x.notRun = d.Reason, d.NotRun
+	x.basis = d.Basis
+	x.retryAfter = d.RetryAfter
 	switch {
 	case x.begun:
 		x.abort()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -349,11 +349,12 @@
 	if x.org != nil {
 		org = x.org.Name
 	}
-	h.cfg.Log.Event("request_ended", "request", x.head.ID, "status", x.status, "reason", string(x.reason),
-		"not_run", x.notRun, "route", route, "organisation", org, "version", x.version,
+	fields := append([]any{"request", x.head.ID, "status", x.status, "reason", string(x.reason),
+		"not_run", x.notRun, "retry_after_ms", x.retryAfter.Milliseconds(), "route", route, "organisation", org, "version", x.version,
 		"config_age_ms", h.cfg.Now().Sub(scheduler.Instant(h.confirmed.Load())).Milliseconds(),
 		"attempts", x.attempts, "endpoint", x.endpoint, "outcome", x.outcome.String(),
-		"queued_ms", x.waited.Milliseconds(), "took_ms", total.Milliseconds(), "events", x.events.last)
+		"queued_ms", x.waited.Milliseconds(), "took_ms", total.Milliseconds(), "events", x.events.last}, x.basis...)
+	h.cfg.Log.Event("request_ended", fields...)
 }
 
 // attemptFailed logs why an attempt at an endpoint did not end well.
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -21,6 +21,8 @@
 		Attempt int
 		// Waited is how long the request waited here for this dispatch.
 		Waited time.Duration
+		// Basis is what decided, as key, value, key, value for the log.
+		Basis []any
 	}
 	// Refuse: the request ends here. NotRun says whether it is certain that
 	// no endpoint ran it or ever will.
@@ -31,6 +33,8 @@
 		// RetryAfter is when the caller should come back; zero if it should
 		// not.
 		RetryAfter time.Duration
+		// Basis is what decided, as key, value, key, value for the log.
+		Basis []any
 	}
 	// ConfigAdopted: a newer configuration is in force.
 	ConfigAdopted struct{ Table *routing.Table }
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -98,7 +98,11 @@
 	e.mine++
 	e.prefill += r.PromptTokens
 	r.prefilling = true
-	s.emit(Dispatch{ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued)})
+	s.emit(Dispatch{
+		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued),
+		Basis: []any{"endpoint_load", e.load(), "endpoint_slots", e.slots, "endpoint_backlog_tokens", e.backlog(),
+			"waiting", len(s.pool(r.Service).waiting)},
+	})
 }
 
 // answerBegun notes that the endpoint has read the request's prompt.
@@ -149,7 +153,29 @@
 
 func (s *State) refuse(r *request, reason Reason, retryAfter time.Duration) {
 	s.count(CounterRefusals, string(reason))
-	s.emit(Refuse{ID: r.ID, Reason: reason, NotRun: !r.mayHaveRun, RetryAfter: retryAfter})
+	s.emit(Refuse{
+		ID: r.ID, Reason: reason, NotRun: !r.mayHaveRun, RetryAfter: retryAfter, Basis: s.basis(r),
+	})
+}
+
+// basis is the state that decides about refusals, for the log.
+func (s *State) basis(r *request) []any {
+	p := s.pool(r.Service)
+	usable := 0
+	for _, e := range p.endpoints {
+		if s.usable(e) {
+			usable++
+		}
+	}
+	out := []any{"waiting", len(p.waiting), "endpoints", len(p.endpoints), "usable", usable, "instances", 1 + len(s.members.byAddress)}
+	if r.Organisation == nil {
+		return out
+	}
+	if b := s.quotas[r.Organisation.Name]; b != nil && b.rate > 0 {
+		out = append(out, "quota_level", int64(b.level), "quota_reserve", int64(b.reserve(r.Route.Priority, r.cost())),
+			"quota_rate", int64(b.rate), "quota_part_percent", int64(100*b.part))
+	}
+	return out
 }
 
 // end refuses a request that is held.
