--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/balsamstair/balsamstair/platform/platformtest"
+)
+
+// The routes that callers use.
+const (
+	safePath   = "/safe/"
+	unsafePath = "/unsafe/"
+	streamPath = "/stream/"
+)
+
+// patience is a caller's deadline.
+const patience = 5 * time.Second
+
+// result is what a caller saw of one request.
+type result struct {
+	id, path, key string
+	instance      string
+	sent, ended   time.Time
+	// status is 0 where no whole answer came.
+	status int
+	// wrong says what is wrong with a success.
+	wrong string
+	err   error
+	// events is the length asked of a stream.
+	events int
+}
+
+// callers send requests until their context ends.
+type callers struct {
+	site *site
+	keys func() []string
+
+	mu      sync.Mutex
+	results []result
+}
+
+func (c *callers) run(ctx context.Context, seed uint64, n int, pause time.Duration) {
+	var all sync.WaitGroup
+	for k := range n {
+		all.Go(func() {
+			r := rand.New(rand.NewPCG(seed, uint64(k)))
+			// Kept connections, as long as they last.
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+			for number := 0; ctx.Err() == nil; number++ {
+				c.call(client, r, fmt.Sprintf("%d-%d-%d", seed, k, number))
+				time.Sleep(pause/2 + rand.N(pause))
+			}
+		})
+	}
+	all.Wait()
+}
+
+func (c *callers) call(client *http.Client, r *rand.Rand, id string) {
+	paths := []string{safePath, unsafePath, streamPath}
+	keys := c.keys()
+	res := result{id: id, path: paths[r.IntN(len(paths))], key: keys[r.IntN(len(keys))], sent: time.Now()}
+	i := c.site.instances[r.IntN(len(c.site.instances))]
+	res.instance = i.name
+	target := "http://" + i.callers + res.path + "x"
+	method := http.MethodGet
+	switch res.path {
+	case unsafePath:
+		method = http.MethodPost
+	case streamPath:
+		method = http.MethodPost
+		res.events = 1 + r.IntN(30)
+		target += fmt.Sprintf("?events=%d", res.events)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, target, strings.NewReader("body of "+id))
+	if err != nil {
+		panic(err)
+	}
+	request.Host = host
+	// net/http must not repeat a request by itself.
+	request.GetBody = nil
+	platformtest.Mark(request, id, res.key, patience)
+	response, err := client.Do(request)
+	if err == nil {
+		res.read(response)
+	} else {
+		res.err = err
+	}
+	res.ended = time.Now()
+	c.mu.Lock()
+	c.results = append(c.results, res)
+	c.mu.Unlock()
+}
+
+func (res *result) read(response *http.Response) {
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		res.err = err
+		return
+	}
+	res.status = response.StatusCode
+	if res.status != http.StatusOK {
+		return
+	}
+	want := "answer to " + res.id
+	if res.path == streamPath {
+		want = ""
+		for n := 1; n <= res.events; n++ {
+			want += platformtest.Event(n)
+		}
+	}
+	switch {
+	case platformtest.StampOf(response) != platformtest.Stamp(res.id):
+		res.wrong = "stamp " + platformtest.StampOf(response)
+	case string(body) != want:
+		res.wrong = fmt.Sprintf("body of %d bytes in place of %d", len(body), len(want))
+	}
+}
--- /dev/null
+++ b/internal/soak/site.go
@@ -0,0 +1,260 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/balsamstair/balsamstair/platform/platformtest"
+	"github.com/cockroachdb/errors"
+)
+
+// Sizes and bounds of a site.
+const (
+	slots      = 4
+	revocation = 5 * time.Second
+	grace      = 8 * time.Second
+	host       = "soak.example"
+	plainName  = "desk"
+	streamName = "engine"
+)
+
+// instance is one balsamd process with the proxy to its store.
+type instance struct {
+	name     string
+	settings string
+	callers  string
+	store    *proxy
+	logPath  string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	// exited is closed when the process has ended.
+	exited chan struct{}
+	// planned counts the graceful stops, killed the others.
+	planned, killed int
+}
+
+// endpoint is one stand-in runner behind a proxy.
+type endpoint struct {
+	*platformtest.Endpoint
+	server  *http.Server
+	proxy   *proxy
+	started time.Time
+
+	mu    sync.Mutex
+	spoil [5]float64
+	rand  *rand.Rand
+}
+
+// site is everything that runs.
+type site struct {
+	dir       string
+	binary    string
+	store     *platformtest.Store
+	storeHTTP *http.Server
+	storeAt   string
+	instances []*instance
+	endpoints []*endpoint
+	runs      *platformtest.Runs
+}
+
+func serve(handler http.Handler) (*http.Server, string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }()
+	return server, l.Addr().String(), nil
+}
+
+// freePort returns a loopback address whose port is free for TCP and UDP now.
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func newSite(o Options, r *rand.Rand) (*site, error) {
+	s := &site{dir: o.Dir, binary: o.Binary, store: platformtest.NewStore(), runs: platformtest.NewRuns()}
+	var err error
+	if s.storeHTTP, s.storeAt, err = serve(s.store); err != nil {
+		return nil, err
+	}
+	for n := range o.Endpoints {
+		service := plainName
+		if n%2 == 1 {
+			service = streamName
+		}
+		if err := s.addEndpoint(fmt.Sprintf("e%d", n), service, r.Uint64()); err != nil {
+			return nil, err
+		}
+	}
+	seeds := make([]string, 0, o.Instances)
+	for range o.Instances {
+		address, err := freePort()
+		if err != nil {
+			return nil, err
+		}
+		seeds = append(seeds, address)
+	}
+	for n := range o.Instances {
+		if err := s.addInstance(n, seeds); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *site) addEndpoint(id, service string, seed uint64) error {
+	e := &endpoint{started: time.Now(), rand: rand.New(rand.NewPCG(seed, 1))}
+	e.Endpoint = &platformtest.Endpoint{
+		ID: id, Service: service, Runs: s.runs, Work: 20 * time.Millisecond, EventPause: 15 * time.Millisecond, Spoil: e.draw,
+	}
+	server, address, err := serve(e.Endpoint)
+	if err != nil {
+		return err
+	}
+	e.server = server
+	if e.proxy, err = newProxy(address); err != nil {
+		return err
+	}
+	s.endpoints = append(s.endpoints, e)
+	s.list(e, false)
+	return nil
+}
+
+// list writes the endpoint's entry.
+func (s *site) list(e *endpoint, leaving bool) {
+	key, value := e.Entry(e.proxy.address(), slots, leaving, e.started)
+	s.store.Put(key, value)
+}
+
+// draw decides what happens to the next answer.
+func (e *endpoint) draw() platformtest.Spoil {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	draw := e.rand.Float64()
+	for kind, share := range e.spoil {
+		if draw < share {
+			return platformtest.Spoil(kind)
+		}
+		draw -= share
+	}
+	return platformtest.Sound
+}
+
+func (e *endpoint) setSpoil(kind platformtest.Spoil, share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.spoil = [5]float64{}
+	e.spoil[kind] = share
+}
+
+func (s *site) addInstance(n int, seeds []string) error {
+	store, err := newProxy(s.storeAt)
+	if err != nil {
+		return err
+	}
+	callers, err := freePort()
+	if err != nil {
+		return err
+	}
+	operator, err := freePort()
+	if err != nil {
+		return err
+	}
+	i := &instance{name: fmt.Sprintf("i%d", n), callers: callers, store: store}
+	i.settings = filepath.Join(s.dir, i.name+".toml")
+	i.logPath = filepath.Join(s.dir, i.name+".log")
+	text := fmt.Sprintf(`instance = %q
+availability_zone = "zone"
+caller_address = %q
+operator_address = %q
+gossip_address = %q
+platform_address = %q
+seeds = [%q, %q]
+[bounds]
+revocation_ms = %d
+retry_ratio = 0.2
+retry_extra = 50
+retry_window_s = 10
+grace_s = %d
+`, i.name, callers, operator, seeds[n], store.address(), seeds[0], seeds[1%len(seeds)], revocation.Milliseconds(), int(grace.Seconds()))
+	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	s.instances = append(s.instances, i)
+	return i.start(s.binary)
+}
+
+// start starts the process and notes when it ends.
+func (i *instance) start(binary string) error {
+	log, err := os.OpenFile(i.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	command := exec.Command(binary, "-routed", "-settings", i.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return errors.Wrap(err, "starting balsamd")
+	}
+	exited := make(chan struct{})
+	go func() {
+		_ = command.Wait()
+		close(exited)
+	}()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.command, i.exited = command, exited
+	return nil
+}
+
+// signal sends a signal to the process, by its id.
+func (i *instance) signal(sig syscall.Signal) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	_ = i.command.Process.Signal(sig)
+}
+
+// end waits until the process has ended, at most for a time, and kills it
+// then.
+func (i *instance) end(within time.Duration) (inTime bool) {
+	i.mu.Lock()
+	exited := i.exited
+	i.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(within):
+	}
+	i.signal(syscall.SIGKILL)
+	<-exited
+	return false
+}
+
+func (s *site) close() {
+	for _, i := range s.instances {
+		i.signal(syscall.SIGCONT)
+		i.signal(syscall.SIGKILL)
+		i.end(time.Second)
+		i.store.close()
+	}
+	for _, e := range s.endpoints {
+		e.proxy.close()
+		_ = e.server.Close()
+	}
+	_ = s.storeHTTP.Close()
+}
