Many instances: room is left at others' homes

Ruled out: the reports' interval (100 ms in the zone would be 200 reports a second to and from each instance, past the control budget). Each instance fills its homes (three of each service on average) and leaves two slots free elsewhere.

--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -41,6 +41,9 @@
 	// home says that this instance, of those of its zone, is the one to prefer
 	// the endpoint.
 	home bool
+	// away says that so many instances share the endpoint that its load is
+	// known late, and that it is another's home.
+	away bool
 	// failures counts the failures in a row.
 	failures       int
 	suspendedUntil Instant
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -22,9 +22,33 @@
 		}
 	}
 	s.planReading(neighbours)
+	shared := len(neighbours) > membersAtInterval
+	local := map[string]int{}
 	for _, e := range s.endpoints {
-		e.home = e.Zone == s.cfg.Zone && rendezvous(e.ID, neighbours) == s.cfg.Address
+		if e.Zone == s.cfg.Zone {
+			local[e.Service]++
+		}
+	}
+	for _, e := range s.endpoints {
+		homes := 1
+		if shared {
+			homes = (sharedHomes*len(neighbours) + local[e.Service] - 1) / max(local[e.Service], 1)
+		}
+		e.home = e.Zone == s.cfg.Zone && precedence(e.ID, s.cfg.Address, neighbours) < homes
+		e.away = shared && !e.home
+	}
+}
+
+// precedence counts the candidates with a higher hash for a key than one's own.
+func precedence(key, self string, candidates []string) int {
+	own := xxhash.Sum64String(key + "/" + self)
+	higher := 0
+	for _, c := range candidates {
+		if c != self && xxhash.Sum64String(key+"/"+c) > own {
+			higher++
+		}
 	}
+	return higher
 }
 
 // planReading lets two instances of a zone read the platform for all others, in
@@ -49,6 +73,10 @@
 	}
 }
 
+// sharedHomes is the mean number of homes that an instance has of each service,
+// where many share a zone.
+const sharedHomes = 3
+
 // zoneReaders is the number of instances of a zone that read for the others.
 const zoneReaders = 2
 
--- a/internal/scheduler/placement_test.go
+++ b/internal/scheduler/placement_test.go
@@ -209,3 +209,43 @@
 	i.end(long, Attempt{Outcome: Completed})
 	must.Eq(t, 100, i.s.endpoints[at].backlog())
 }
+
+// Load pattern: overload before many instances, which hear of a free slot at
+// the same moment. Each fills its own homes and leaves room at the others'.
+func TestManyInstancesDoNotRushForTheSameSlot(t *testing.T) {
+	const slots = 6
+	i := serving(t, 20, slots)
+	for n := range 20 {
+		i.step(PeerReported{Report: Report{Incarnation: uint64(n + 2), Sequence: 1, Address: address(n + 1), Zone: "a"}})
+	}
+	i.pass(TickInterval)
+	for range 400 {
+		i.arrive(route("r", 0), nil)
+	}
+	perEndpoint := map[string]int{}
+	for _, d := range i.dispatched {
+		perEndpoint[d.Endpoint.ID]++
+	}
+	homes := 0
+	for id, e := range i.s.endpoints {
+		if e.home {
+			homes++
+			must.Eq(t, slots+endpointDepth, perEndpoint[id])
+		} else {
+			must.Eq(t, slots-awayMargin, perEndpoint[id])
+		}
+	}
+	must.Between(t, 1, homes, 9)
+}
+
+// Load pattern: the same, before a service of a single endpoint in the zone. It
+// is every instance's home, so no instance is kept from its last slots.
+func TestLoneEndpointIsEveryonesHome(t *testing.T) {
+	i := serving(t, 1, 6)
+	for n := range 20 {
+		i.step(PeerReported{Report: Report{Incarnation: uint64(n + 2), Sequence: 1, Address: address(n + 1), Zone: "a"}})
+	}
+	i.pass(TickInterval)
+	must.True(t, i.s.endpoints["e0"].home)
+	must.Eq(t, 6+endpointDepth, i.s.endpoints["e0"].room())
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -81,6 +81,10 @@
 	// instance, in the same unit. Instances of a zone then work at different
 	// endpoints while there is room, and each knows most of its own.
 	awayCost = 1.0
+	// awayMargin is the number of slots that an instance leaves free at another's
+	// home where many share them: what the others send at the same moment, each
+	// in the belief that the last slot is free.
+	awayMargin = 2
 	// backlogTokens is the number of prompt tokens still to be read that costs
 	// as much as a full endpoint: what an engine reads in about a tenth of a
 	// second, during which it produces nothing else.
@@ -149,7 +153,7 @@
 			continue
 		}
 		load := e.load()
-		if load >= e.slots+endpointDepth {
+		if load >= e.room() {
 			continue
 		}
 		if cost := s.cost(e, load); best == nil || cost < bestCost {
@@ -171,6 +175,14 @@
 	return cost + failureCost*e.failing + 0.02*s.rand.Float64()
 }
 
+// room is the number of requests up to which e takes another one.
+func (e *endpoint) room() int {
+	if e.away {
+		return max(e.slots-awayMargin, 1)
+	}
+	return e.slots + endpointDepth
+}
+
 // usable reports whether e may get new work now. One request at a time probes
 // an endpoint that comes back from a suspension.
 func (s *State) usable(e *endpoint) bool {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -76,14 +76,19 @@
 	return server, l.Addr().String(), nil
 }
 
-// freePort returns a loopback address whose port is free for TCP and UDP now.
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
+// Ports of an instance. Each instance has a loopback address of its own, so
+// that no other socket can take them while it is down.
+const (
+	callerPort   = 7001
+	operatorPort = 7002
+	gossipPort   = 7003
+)
+
+// address returns one of an instance's addresses, which differ between soaks
+// that run at the same time.
+func address(instance, port int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid%250, 1+pid/250%250, 1+instance, port)
 }
 
 func newSite(o Options, r *rand.Rand) (*site, error) {
@@ -102,12 +107,8 @@
 		}
 	}
 	seeds := make([]string, 0, o.Instances)
-	for range o.Instances {
-		address, err := freePort()
-		if err != nil {
-			return nil, err
-		}
-		seeds = append(seeds, address)
+	for n := range o.Instances {
+		seeds = append(seeds, address(n, gossipPort))
 	}
 	for n := range o.Instances {
 		if err := s.addInstance(n, seeds); err != nil {
@@ -167,15 +168,7 @@
 	if err != nil {
 		return err
 	}
-	callers, err := freePort()
-	if err != nil {
-		return err
-	}
-	operator, err := freePort()
-	if err != nil {
-		return err
-	}
-	i := &instance{name: fmt.Sprintf("i%d", n), callers: callers, store: store}
+	i := &instance{name: fmt.Sprintf("i%d", n), callers: address(n, callerPort), store: store}
 	i.settings = filepath.Join(s.dir, i.name+".toml")
 	i.logPath = filepath.Join(s.dir, i.name+".log")
 	text := fmt.Sprintf(`instance = %q
@@ -191,7 +184,7 @@
 retry_extra = 50
 retry_window_s = 10
 grace_s = %d
-`, i.name, callers, operator, seeds[n], store.address(), seeds[0], seeds[1%len(seeds)], revocation.Milliseconds(), int(grace.Seconds()))
+`, i.name, i.callers, address(n, operatorPort), seeds[n], store.address(), seeds[0], seeds[1%len(seeds)], revocation.Milliseconds(), int(grace.Seconds()))
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
