An instance that is cut off from the store reads what other instances read

Ruled out: a longer trust in the configuration (the revocation bound). Answers of other instances are dated as those of a zone's readers are.

--- a/internal/directory/replica_test.go
+++ b/internal/directory/replica_test.go
@@ -152,3 +152,38 @@
 	must.Eq(t, clock-int64(10*time.Second), u.Asked)
 	must.Greater(t, clock, w.distrustUntil)
 }
+
+// Load pattern: a single instance is cut off from the platform, but not from
+// other instances. It goes on with what they read, dated as strictly.
+func TestWatcherReadsOthersWhileThePlatformIsOutOfReach(t *testing.T) {
+	replica := listed()
+	server := httptest.NewServer(RelayHandler(replica, func() int64 { return 100 }))
+	defer server.Close()
+	clock := int64(time.Hour)
+	cut := answer{err: context.DeadlineExceeded}
+	s := &script{answers: []answer{{batch: Batch{Revision: 5}}, cut, {batch: Batch{Revision: 11}}}}
+	w := NewWatcher(WatcherConfig{
+		Source: s, RelayClient: http.DefaultClient,
+		// The first backup does not answer.
+		Plan: func() Plan { return Plan{Backups: [2]string{"127.0.0.1:1", server.Listener.Addr().String()}} },
+		Now:  func() int64 { return clock },
+	})
+	must.NoError(t, w.read(t.Context()).Err)
+	must.Error(t, w.read(t.Context()).Err)
+	failed := w.read(t.Context())
+	must.Eq(t, "127.0.0.1:1", failed.From)
+	must.Error(t, failed.Err)
+	// The platform is tried again before the next backup.
+	must.NoError(t, w.read(t.Context()).Err)
+	must.Eq(t, []string{"list", "watch 5ns", "watch 5ns"}, s.reads)
+
+	s.answers = []answer{cut}
+	must.Error(t, w.read(t.Context()).Err)
+	relayed := w.read(t.Context())
+	must.NoError(t, relayed.Err)
+	must.Eq(t, server.Listener.Addr().String(), relayed.From)
+	must.Eq(t, clock, relayed.Asked)
+	clock += int64(distrustTime)
+	s.answers = []answer{{batch: Batch{Revision: 12}}}
+	must.Eq(t, "", w.read(t.Context()).From)
+}
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -58,6 +58,17 @@
 	Relay string
 	// Relayed says that other instances read from this one.
 	Relayed bool
+	// Backups are the addresses of instances to read from, in turn, while the
+	// platform can't be read; empty ones are passed over.
+	Backups [2]string
+}
+
+// backup returns the nth backup, counted round.
+func (p Plan) backup(n int) string {
+	if first := p.Backups[n%len(p.Backups)]; first != "" {
+		return first
+	}
+	return p.Backups[(n+1)%len(p.Backups)]
 }
 
 // WatcherConfig describes a Watcher.
@@ -83,6 +94,10 @@
 	// distrustUntil is the time up to which the platform is read itself, since
 	// a relay failed or was behind.
 	distrustUntil int64
+	// avoidUntil is the time up to which backups are read, since the platform
+	// could not be. tried counts the backups that failed.
+	avoidUntil int64
+	tried      int
 }
 
 // NewWatcher returns a Watcher that reads nothing until Serve runs.
@@ -112,6 +127,9 @@
 	switch {
 	case plan.Relay != "" && w.cfg.Now() >= w.distrustUntil:
 		return &Relay{Address: plan.Relay, Client: w.cfg.RelayClient}, plan.Relay, relayWait
+	case plan.backup(w.tried) != "" && w.cfg.Now() < w.avoidUntil:
+		address := plan.backup(w.tried)
+		return &Relay{Address: address, Client: w.cfg.RelayClient}, address, relayWait
 	case plan.Relayed:
 		return w.cfg.Source, "", relayedWait
 	default:
@@ -132,9 +150,7 @@
 		update.Batch, update.Err = source.Watch(ctx, w.revision, wait)
 	}
 	update.Asked -= int64(update.Batch.Age)
-	if from != "" && (update.Err != nil || update.Batch.Age > maxRelayAge) {
-		w.distrustUntil = w.cfg.Now() + int64(distrustTime)
-	}
+	w.judge(update)
 	switch {
 	case update.Err == nil:
 		w.listed = true
@@ -146,6 +162,20 @@
 	return update
 }
 
+// judge decides where to read next after a read that failed or is outdated: at
+// the platform itself where a relay failed, at a backup where the platform did.
+func (w *Watcher) judge(u Update) {
+	failed := u.Err != nil && !errors.Is(u.Err, ErrHistoryLost)
+	switch {
+	case u.From == "" && failed:
+		w.avoidUntil = w.cfg.Now() + int64(distrustTime)
+	case u.From != "" && (u.Err != nil || u.Batch.Age > maxRelayAge):
+		w.distrustUntil = w.cfg.Now() + int64(distrustTime)
+		w.avoidUntil = 0
+		w.tried++
+	}
+}
+
 // pause waits longer after each failure in a row, with jitter, so that
 // instances that lost the platform together do not return together.
 func (w *Watcher) pause(ctx context.Context) {
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/cespare/xxhash/v2"
@@ -66,13 +67,31 @@
 			plan.Relay = rendezvous(s.cfg.Address, readers)
 		}
 	}
+	plan.Backups = s.backups()
 	if plan != s.plan {
 		s.plan = plan
 		s.emit(ReadFrom{Plan: plan})
-		s.log("reading_planned", "relay", plan.Relay, "relayed", plan.Relayed)
+		s.log("reading_planned", "relay", plan.Relay, "relayed", plan.Relayed,
+			"backups", strings.Join(plan.Backups[:], ","))
 	}
 }
 
+// backups returns other instances to read from while the platform is out of
+// reach, of other zones too.
+func (s *State) backups() (out [2]string) {
+	var reached []string
+	for a, x := range s.members.byAddress {
+		if s.members.inReach(x, s.now) {
+			reached = append(reached, a)
+		}
+	}
+	for n := range out {
+		out[n] = rendezvous(s.cfg.Address, reached)
+		reached = slices.DeleteFunc(reached, func(a string) bool { return a == out[n] })
+	}
+	return out
+}
+
 // sharedHomes is the mean number of homes that an instance has of each service,
 // where many share a zone.
 const sharedHomes = 3
