--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -342,7 +342,10 @@
 		h.cfg.Counters.Add("routed_log_lines_dropped_total", "", 1)
 		return
 	}
-	route, org := "", ""
+	route, org, outcome := "", "", ""
+	if x.attempts > 0 {
+		outcome = x.outcome.String()
+	}
 	if x.route != nil {
 		route = x.route.Name
 	}
@@ -352,7 +355,7 @@
 	fields := append([]any{"request", x.head.ID, "status", x.status, "reason", string(x.reason),
 		"not_run", x.notRun, "retry_after_ms", x.retryAfter.Milliseconds(), "route", route, "organisation", org, "version", x.version,
 		"config_age_ms", h.cfg.Now().Sub(scheduler.Instant(h.confirmed.Load())).Milliseconds(),
-		"attempts", x.attempts, "endpoint", x.endpoint, "outcome", x.outcome.String(),
+		"attempts", x.attempts, "endpoint", x.endpoint, "outcome", outcome,
 		"queued_ms", x.waited.Milliseconds(), "took_ms", total.Milliseconds(), "events", x.events.last}, x.basis...)
 	h.cfg.Log.Event("request_ended", fields...)
 }
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -95,8 +95,7 @@
 type Organisation struct {
 	Name string
 	Keys []string
-	// Priority is the organisation's rank; 0 is the most urgent. It precedes
-	// the route's.
+	// Priority is the organisation's rank; 0 is the most urgent.
 	Priority int
 	Quota    Quota
 }
--- a/internal/scheduler/belief.go
+++ b/internal/scheduler/belief.go
@@ -98,7 +98,7 @@
 			}
 		}
 	}
-	for _, p := range s.pools {
+	for _, p := range s.poolOrder {
 		s.place(p)
 	}
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -30,6 +30,7 @@
 	if p == nil {
 		p = &pool{service: service, means: map[meanKey]float64{}}
 		s.pools[service] = p
+		s.poolOrder = append(s.poolOrder, p)
 	}
 	return p
 }
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -23,7 +23,8 @@
 	charged float64
 }
 
-// rank orders waiting requests; the smaller precedes.
+// rank orders waiting requests; the smaller precedes. The route's priority
+// goes before the organisation's (docs/QUESTIONS.md).
 type rank struct{ organisation, route int }
 
 func (r *request) before(other *request) bool {
@@ -255,7 +256,7 @@
 
 // expireWaiting refuses what has waited too long.
 func (s *State) expireWaiting() {
-	for _, p := range s.pools {
+	for _, p := range s.poolOrder {
 		var late []*request
 		for _, r := range p.waiting {
 			if s.now >= r.waitsUntil() {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -48,6 +48,9 @@
 	belief    belief
 	endpoints map[string]*endpoint
 	pools     map[string]*pool
+	// poolOrder holds the pools in the order of their first use, so that equal
+	// events have equal effects.
+	poolOrder []*pool
 	requests  map[RequestID]*request
 	quotas    map[string]*bucket
 	members   members
@@ -116,7 +119,7 @@
 	s.expireWaiting()
 	s.expireLapsed()
 	s.expireCrashes()
-	for _, p := range s.pools {
+	for _, p := range s.poolOrder {
 		s.place(p)
 	}
 	s.gossip()
