--- /dev/null
+++ b/internal/reducer/zone_faults_test.go
@@ -0,0 +1,83 @@
+package reducer
+
+import (
+	"time"
+)
+
+func (z *zone) isCut(a, b *member) bool {
+	return z.cut[[2]Incarnation{a.inc, b.inc}] || z.cut[[2]Incarnation{b.inc, a.inc}]
+}
+
+// crash breaks every run of the endpoint and lets it report another start.
+func (z *zone) crash(endpoint string) {
+	z.crashed++
+	for _, m := range z.members {
+		for id, on := range m.running {
+			if on != endpoint || !m.alive {
+				continue
+			}
+			delete(m.running, id)
+			z.after(m, time.Millisecond, DispatchDone{Request: id, Result: Result{Ended: EndedBroken, Elapsed: time.Millisecond}})
+		}
+	}
+	z.started[endpoint]++
+}
+
+// leaveEndpoint lets an endpoint say to everybody that it leaves or stays.
+func (z *zone) leaveEndpoint(endpoint string, leaving bool) {
+	delete(z.leaving, endpoint)
+	if leaving {
+		z.leaving[endpoint] = z.now
+	}
+}
+
+func (z *zone) kill(m *member) {
+	z.note("%s killed", m.name)
+	m.alive = false
+	m.running = map[RequestID]string{}
+	z.dropSessions(m)
+}
+
+func (z *zone) dropSessions(m *member) {
+	for _, o := range z.members {
+		if o != m && o.alive {
+			o.post(PeerDown{Peer: m.inc})
+		}
+	}
+}
+
+func (z *zone) pause(m *member) {
+	z.note("%s paused", m.name)
+	m.paused = true
+}
+
+func (z *zone) resume(m *member) {
+	z.note("%s resumed", m.name)
+	m.paused = false
+	inbox := m.inbox
+	m.inbox = nil
+	for _, run := range inbox {
+		if m.alive {
+			run()
+		}
+	}
+}
+
+func (z *zone) setCut(a, b *member, cut bool) {
+	z.note("cut between %s and %s: %v", a.name, b.name, cut)
+	z.cut[[2]Incarnation{a.inc, b.inc}] = cut
+	if cut {
+		a.post(PeerDown{Peer: b.inc})
+		b.post(PeerDown{Peer: a.inc})
+	}
+}
+
+func (z *zone) live() []*member {
+	var all []*member
+	for _, m := range z.members {
+		if m.alive {
+			all = append(all, m)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/reducer/zone_network_test.go
@@ -0,0 +1,124 @@
+package reducer
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+	"github.com/balsamstair/balsamstair/internal/refusal"
+	"google.golang.org/protobuf/proto"
+)
+
+func (z *zone) member(inc Incarnation) *member {
+	for _, m := range z.members {
+		if m.inc == inc {
+			return m
+		}
+	}
+	return nil
+}
+
+func (z *zone) send(from *member, to Incarnation, f *peerpb.Frame) {
+	dst := z.member(to)
+	if dst == nil || !dst.alive || z.isCut(from, dst) {
+		return
+	}
+	z.events["frame "+fmt.Sprintf("%T", f.GetBody())[len("*peerpb.Frame_"):]]++
+	if reply := f.GetFileReply(); reply != nil {
+		file := from.state.file
+		z.deliver(dst, func() { dst.step(FileOffered{File: file, Source: "peer"}) })
+		return
+	}
+	if d := f.GetDecline(); d != nil && refusal.Reason(d.GetReason()) != declineMoved {
+		dst.deciders[RequestID(d.GetRequest())] = from.decide()
+	}
+	if c := f.GetTierClose(); c != nil {
+		dst.raisers[c.GetPool()] = from.decide()
+		z.note("%s closes rank %d of %s at %s, round %d", from.name, c.GetRank(), c.GetPool(), dst.name, c.GetRound())
+	}
+	for _, c := range f.GetHeartbeat().GetClosures() {
+		// A joining member takes over what another has closed, with the
+		// decision behind it.
+		if d, ok := from.raisers[c.GetPool()]; ok && !dst.ready {
+			dst.raisers[c.GetPool()] = d
+		}
+	}
+	if c := f.GetTierCloseConfirm(); c != nil {
+		z.note("%s confirms rank %d of %s to %s, round %d", from.name, c.GetRank(), c.GetPool(), dst.name, c.GetRound())
+	}
+	c := proto.Clone(f).(*peerpb.Frame)
+	z.deliver(dst, func() { dst.step(PeerMessage{From: from.inc, Frame: c}) })
+}
+
+// deliver keeps the order of frames to one member, as a session does.
+func (z *zone) deliver(to *member, run func()) {
+	at := z.now.Add(time.Duration(1+z.rand(3)) * time.Millisecond)
+	for _, d := range z.net {
+		if d.to == to && d.at > at {
+			at = d.at
+		}
+	}
+	at = min(at, z.now.Add(10*time.Millisecond))
+	z.net = append(z.net, delivery{at: at, to: to, run: run})
+}
+
+func (z *zone) after(m *member, d time.Duration, ev Event) {
+	z.net = append(z.net, delivery{at: z.now.Add(d), to: m, run: func() { m.step(ev) }})
+}
+
+func (z *zone) connect(m *member, name string) {
+	for _, o := range z.members {
+		if o.name != name || !o.alive || o == m || o.paused || z.isCut(m, o) {
+			continue
+		}
+		a, b := m, o
+		z.deliver(a, func() { a.step(PeerUp{Peer: b.inc, Hello: &peerpb.Hello{Instance: b.name, AvailabilityZone: "a"}}) })
+		z.deliver(b, func() { b.step(PeerUp{Peer: a.inc, Hello: &peerpb.Hello{Instance: a.name, AvailabilityZone: "a"}}) })
+	}
+}
+
+// advance lets time pass in small steps, with everything due in between.
+func (z *zone) advance(d time.Duration) {
+	end := z.now.Add(d)
+	for z.now < end && z.violation == "" {
+		z.now = z.now.Add(5 * time.Millisecond)
+		z.runDue()
+		if int64(z.now)/int64(5*time.Millisecond)%int64(pollInterval/(5*time.Millisecond)) == 0 {
+			z.poll()
+		}
+		if int64(z.now)/int64(5*time.Millisecond)%20 == 0 {
+			for _, m := range z.members {
+				if m.alive && !m.paused {
+					m.step(Tick{})
+				}
+			}
+		}
+	}
+}
+
+func (z *zone) runDue() {
+	for {
+		due := z.net[:0:0]
+		var rest []delivery
+		for _, d := range z.net {
+			if d.at <= z.now {
+				due = append(due, d)
+			} else {
+				rest = append(rest, d)
+			}
+		}
+		if len(due) == 0 {
+			return
+		}
+		z.net = rest
+		sort.SliceStable(due, func(i, j int) bool { return due[i].at < due[j].at })
+		for _, d := range due {
+			if d.to.paused {
+				d.to.inbox = append(d.to.inbox, d.run)
+			} else if d.to.alive {
+				d.run()
+			}
+		}
+	}
+}
