--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -192,8 +192,19 @@
 	return i.start(s.binary)
 }
 
-// start starts the process and notes when it ends.
+// start starts the process, unless it is running, and notes when it ends. The
+// whole is under the lock: two faults that end at the same moment must not
+// leave a process behind that nobody ends.
 func (i *instance) start(binary string) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.exited != nil {
+		select {
+		case <-i.exited:
+		default:
+			return nil
+		}
+	}
 	log, err := os.OpenFile(i.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -209,8 +220,6 @@
 		_ = command.Wait()
 		close(exited)
 	}()
-	i.mu.Lock()
-	defer i.mu.Unlock()
 	i.command, i.exited = command, exited
 	return nil
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -193,14 +193,6 @@
 
 // restart starts an instance unless another fault has done so.
 func (s *soak) restart(i *instance) {
-	i.mu.Lock()
-	exited := i.exited
-	i.mu.Unlock()
-	select {
-	case <-exited:
-	default:
-		return
-	}
 	if err := i.start(s.site.binary); err != nil {
 		s.broke("instance %s did not start again: %v", i.name, err)
 	}
