--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -47,9 +47,10 @@
 	// stay below, bodiesShare the part that callers' bodies may take.
 	memoryShare = 0.7
 	bodiesShare = 0.2
-	// callerHeaderTimeout bounds the reading of a request's head.
+	// callerHeaderTimeout and callerHeaderBytes bound a request's head where the
+	// configuration does not, or not as strictly.
 	callerHeaderTimeout = 10 * time.Second
-	callerHeaderBytes   = 64 << 10
+	callerHeaderBytes   = 256 << 10
 	// settingsPoll is how often the settings file is looked at for a change
 	// that no signal told.
 	settingsPoll = 2 * time.Second
@@ -191,7 +192,9 @@
 	serving, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ended := supervisor.ServeBackground(serving)
-	server := d.serveCallers(callers)
+	connections := gateway.NewConnections(d.handler)
+	supervisor.Add(connections)
+	server := d.serveCallers(callers, connections)
 	if d.set.MetricsAddress != "" {
 		if err := d.serveInternal(serving, "metrics", d.set.MetricsAddress, d.operator); err != nil {
 			return err
@@ -215,9 +218,10 @@
 	return nil
 }
 
-func (d *routedDaemon) serveCallers(l net.Listener) *http.Server {
+func (d *routedDaemon) serveCallers(l net.Listener, connections *gateway.Connections) *http.Server {
 	server := &http.Server{
 		Handler:           d.handler,
+		ConnState:         connections.Track,
 		ReadHeaderTimeout: callerHeaderTimeout,
 		IdleTimeout:       d.set.Limits.IdleTimeout(),
 		MaxHeaderBytes:    callerHeaderBytes,
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -35,7 +35,11 @@
 	// the first and the last one of the current connection.
 	count         int
 	first, latest time.Time
-	buffer        []byte
+	// begun is when the first event of all connections was forwarded, longest
+	// the longest pause between two events since.
+	begun   time.Time
+	longest time.Duration
+	buffer  []byte
 }
 
 // copy forwards events from body until its end. The error is nil only where
@@ -86,15 +90,25 @@
 		if err := forward(c.buffer[:end]); err != nil {
 			return err
 		}
-		c.latest = time.Now()
-		if c.first.IsZero() {
-			c.first = c.latest
-		}
+		c.forwarded(time.Now())
 		c.buffer = append(c.buffer[:0], c.buffer[end:]...)
 	}
 	return orderErr
 }
 
+// forwarded notes when events were passed on.
+func (c *eventCopier) forwarded(now time.Time) {
+	if c.begun.IsZero() {
+		c.begun = now
+	} else {
+		c.longest = max(c.longest, now.Sub(c.latest))
+	}
+	if c.first.IsZero() {
+		c.first = now
+	}
+	c.latest = now
+}
+
 // check notes the id of an event. Ids rise by one; an event without an id is
 // passed on.
 func (c *eventCopier) check(event []byte) error {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -229,6 +229,21 @@
 	must.True(t, response.Close)
 }
 
+// Load pattern: an endpoint that stalls in the middle of a stream, and a resumed
+// stream whose second endpoint is late with its first event.
+func TestPausesOfAStreamAreMeasuredOverItsConnections(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(100, 0).Add(time.Duration(ms) * time.Millisecond) }
+	var c eventCopier
+	c.forwarded(at(0))
+	c.forwarded(at(50))
+	c.first = time.Time{}
+	c.forwarded(at(450))
+	c.forwarded(at(460))
+	must.Eq(t, at(0), c.begun)
+	must.Eq(t, at(450), c.first)
+	must.Eq(t, 400*time.Millisecond, c.longest)
+}
+
 func TestEventIDs(t *testing.T) {
 	for event, want := range map[string]int64{
 		"id: 7\ndata: x": 7, "x-version: 3\nid:8\ndata: id: 9": 8, "data: x": 0, "id: x": 0,
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -38,6 +38,7 @@
 	reasonNoRoute  = "no_route"
 	reasonNoKey    = "unknown_key"
 	reasonTooLarge = "too_large"
+	reasonHead     = "head_too_large"
 	reasonBadBody  = "bad_body"
 	reasonMemory   = "bodies_limit"
 )
@@ -189,6 +190,9 @@
 	}
 	outdated := x.h.cfg.Now().Sub(scheduler.Instant(x.h.confirmed.Load())) > denyAge
 	x.version = table.Version()
+	if limit := table.Limits().HeaderBytes; limit > 0 && headerBytes(x.r.Header) > limit {
+		return http.StatusRequestHeaderFieldsTooLarge, reasonHead
+	}
 	x.route = table.Route(x.r.Host, x.r.URL.EscapedPath())
 	if x.route == nil {
 		if outdated {
@@ -208,6 +212,18 @@
 	return http.StatusUnauthorized, reasonNoKey
 }
 
+// headerBytes is the size of the header fields on the wire.
+func headerBytes(h http.Header) int {
+	const separators = len(": \r\n")
+	size := 0
+	for name, values := range h {
+		for _, v := range values {
+			size += len(name) + len(v) + separators
+		}
+	}
+	return size
+}
+
 // readBody reads the whole body.
 func (x *exchange) readBody(limits routing.Limits) (int, string) {
 	limit := limits.BodyBytes
@@ -331,8 +347,10 @@
 	if x.attempts > 0 {
 		h.queueing.Observe(x.waited)
 	}
-	if !x.events.first.IsZero() {
-		h.firstByte.Observe(x.events.first.Sub(x.started))
+	firstEvent := time.Duration(0)
+	if !x.events.begun.IsZero() {
+		firstEvent = x.events.begun.Sub(x.started)
+		h.firstByte.Observe(firstEvent)
 	}
 	h.cfg.Counters.Add("routed_answers_total", strconv.Itoa(x.status), 1)
 	if x.reason != "" {
@@ -356,7 +374,9 @@
 		"not_run", x.notRun, "retry_after_ms", x.retryAfter.Milliseconds(), "route", route, "organisation", org, "version", x.version,
 		"config_age_ms", h.cfg.Now().Sub(scheduler.Instant(h.confirmed.Load())).Milliseconds(),
 		"attempts", x.attempts, "endpoint", x.endpoint, "outcome", outcome,
-		"queued_ms", x.waited.Milliseconds(), "took_ms", total.Milliseconds(), "events", x.events.last}, x.basis...)
+		"queued_ms", x.waited.Milliseconds(), "first_event_ms", firstEvent.Milliseconds(),
+		"longest_pause_ms", x.events.longest.Milliseconds(), "prompt_tokens", x.head.PromptTokens,
+		"took_ms", total.Milliseconds(), "events", x.events.last}, x.basis...)
 	h.cfg.Log.Event("request_ended", fields...)
 }
 
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -72,8 +72,6 @@
 // Service is a group of interchangeable endpoints.
 type Service struct {
 	Name string
-	// MaxConnections is what one endpoint accepts from all callers together.
-	MaxConnections int
 	// Engine marks model engines.
 	Engine bool
 	// Slots is the concurrency of one endpoint where an entry names none.
@@ -100,7 +98,8 @@
 	Quota    Quota
 }
 
-// Limits bound what a caller may send.
+// Limits bound what a caller may send, and how long it may take or leave a
+// connection idle. Zero means no limit of the configuration's.
 type Limits struct {
 	HeaderBytes   int
 	BodyBytes     int64
