Scheduler: in a large system an endpoint is shared by few, who tell each other at once

Change: an endpoint has about five homes in its zone and two guests in others, who tell each other of each change by a datagram of one load; the rest use it only when none of their own can be used. Services with few endpoints stay open to all. Small systems are as before. TestManyInstancesDoNotRushForTheSameSlot is stricter: no request at all goes to an endpoint that is left to others while a home works.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -22,6 +22,7 @@
 		Demand:      r.Demand,
 		Known:       uint32(r.Known),
 		Zone:        r.Zone,
+		Partial:     r.Partial,
 	}
 	for _, u := range r.Usage {
 		m.Usage = append(m.Usage, &gossippb.Usage{Organisation: u.Organisation, Used: u.Used, Level: u.Level})
@@ -55,6 +56,7 @@
 		Demand:      m.GetDemand(),
 		Known:       int(m.GetKnown()),
 		Zone:        m.GetZone(),
+		Partial:     m.GetPartial(),
 	}
 	for _, u := range m.GetUsage() {
 		r.Usage = append(r.Usage, scheduler.Usage{Organisation: u.GetOrganisation(), Used: u.GetUsed(), Level: u.GetLevel()})
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -43,9 +43,13 @@
 	// home says that this instance, of those of its zone, is the one to prefer
 	// the endpoint.
 	home bool
-	// away says that so many instances share the endpoint that its load is
-	// known late, and that it is another's home.
+	// away says that the endpoint is left to other instances, so that its load
+	// is known late.
 	away bool
+	// sharers are the addresses of the other instances that work with it, if
+	// they are few; told is the last load that they were told of.
+	sharers []string
+	told    int
 	// failures counts the failures in a row.
 	failures       int
 	suspendedUntil Instant
@@ -100,6 +104,7 @@
 		}
 		e = &endpoint{others: map[uint64]EndpointLoad{}, slowness: 1}
 		s.endpoints[entry.ID] = e
+		s.endpointsChanged = true
 	}
 	changed := fresh || e.Leaving != entry.Leaving
 	e.Endpoint = entry
@@ -134,6 +139,7 @@
 func (s *State) removeEndpoint(e *endpoint) {
 	e.gone = true
 	delete(s.endpoints, e.ID)
+	s.endpointsChanged = true
 	s.pool(e.Service).remove(e)
 }
 
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -129,6 +129,8 @@
 	Zone string
 	// Age is how long the sender has been running.
 	Age time.Duration
+	// Partial reports hold nothing but the loads that have changed.
+	Partial bool
 	// Leaving instances take no new work.
 	Leaving bool
 	// Version is the configuration in force at the sender.
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -8,48 +9,135 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// assignHomes divides the zone's endpoints among its instances in reach by
-// rendezvous hashing. The division is a preference only, so instances need not
-// agree on it.
+const (
+	// largeSystem is the number of other instances from which on each works
+	// with a few endpoints. Up to it, all can afford to tell each other of all.
+	largeSystem = membersAtInterval
+	// meanHomes and meanGuests are the mean numbers of endpoints of a service,
+	// in the own and in other availability zones, that an instance of a large
+	// system works with. Simulated at 84 instances, three homes refuse requests
+	// for which there are slots, and eight do no better than five.
+	meanHomes  = 5
+	meanGuests = 2
+	// maxSharers is the number of instances up to which those that share an
+	// endpoint tell each other of every change.
+	maxSharers = 8
+)
+
+// candidate is an instance that may work with an endpoint.
+type candidate struct {
+	address string
+	zone    string
+	hash    uint64
+}
+
+// assignHomes divides the endpoints among the instances in reach by rendezvous
+// hashing. The division is a preference only, so instances need not agree on
+// it.
 func (s *State) assignHomes() {
 	if s.now < s.homesDue {
 		return
 	}
 	s.homesDue = s.now.Add(homesInterval)
-	neighbours := []string{s.cfg.Address}
-	for a, x := range s.members.byAddress {
-		if x.zone == s.cfg.Zone && s.members.inReach(x, s.now) {
-			neighbours = append(neighbours, a)
+	reached := []candidate{newCandidate(s.cfg.Address, s.cfg.Zone)}
+	for _, a := range s.members.addresses() {
+		if x := s.members.byAddress[a]; s.members.inReach(x, s.now) {
+			reached = append(reached, newCandidate(a, x.zone))
 		}
 	}
-	s.planReading(neighbours)
-	shared := len(neighbours) > membersAtInterval
-	local := map[string]int{}
+	if !s.endpointsChanged && slices.Equal(reached, s.reached) {
+		return
+	}
+	s.endpointsChanged = false
+	s.reached = reached
+	neighbours, _ := divideByZone(reached, s.cfg.Zone)
+	s.planReading(addressesOf(neighbours))
+	if len(reached) <= largeSystem+1 {
+		s.shareAll(neighbours)
+	} else {
+		s.shareFew()
+	}
+}
+
+func newCandidate(address, zone string) candidate {
+	return candidate{address, zone, xxhash.Sum64String(address)}
+}
+
+// shareAll lets the instance work with every endpoint. Of those of its zone it
+// prefers the ones of which it is the home.
+func (s *State) shareAll(neighbours []candidate) {
 	for _, e := range s.endpoints {
-		if e.Zone == s.cfg.Zone {
-			local[e.Service]++
-		}
+		e.home = e.Zone == s.cfg.Zone && first(e.ID, neighbours, 1)[0] == s.cfg.Address
+		e.away, e.sharers = false, nil
+	}
+}
+
+// shareFew lets the instance work with some endpoints, each of which a few
+// instances of its zone and fewer of other zones share.
+func (s *State) shareFew() {
+	type group struct{ service, zone string }
+	inZone, all := map[group]int{}, map[string]int{}
+	for _, e := range s.endpoints {
+		inZone[group{e.Service, e.Zone}]++
+		all[e.Service]++
 	}
 	for _, e := range s.endpoints {
-		homes := 1
-		if shared {
-			homes = (sharedHomes*len(neighbours) + local[e.Service] - 1) / max(local[e.Service], 1)
+		near, far := divideByZone(s.reached, e.Zone)
+		here := inZone[group{e.Service, e.Zone}]
+		homes := first(e.ID, near, quotient(meanHomes*len(near), here))
+		guests := first(e.ID, far, quotient(meanGuests*len(far), all[e.Service]-here))
+		sharers := append(homes, guests...)
+		e.home = slices.Contains(homes, s.cfg.Address)
+		e.away = !slices.Contains(sharers, s.cfg.Address)
+		e.sharers = nil
+		if !e.away && len(sharers) <= maxSharers {
+			e.sharers = slices.DeleteFunc(sharers, func(a string) bool { return a == s.cfg.Address })
 		}
-		e.home = e.Zone == s.cfg.Zone && precedence(e.ID, s.cfg.Address, neighbours) < homes
-		e.away = shared && !e.home
 	}
 }
 
-// precedence counts the candidates with a higher hash for a key than one's own.
-func precedence(key, self string, candidates []string) int {
-	own := xxhash.Sum64String(key + "/" + self)
-	higher := 0
-	for _, c := range candidates {
-		if c != self && xxhash.Sum64String(key+"/"+c) > own {
-			higher++
+// quotient is a/b, rounded up; a if b is zero.
+func quotient(a, b int) int {
+	b = max(b, 1)
+	return (a + b - 1) / b
+}
+
+func divideByZone(all []candidate, zone string) (inside, outside []candidate) {
+	for _, c := range all {
+		if c.zone == zone {
+			inside = append(inside, c)
+		} else {
+			outside = append(outside, c)
 		}
 	}
-	return higher
+	return inside, outside
+}
+
+func addressesOf(candidates []candidate) []string {
+	out := make([]string, 0, len(candidates))
+	for _, c := range candidates {
+		out = append(out, c.address)
+	}
+	return out
+}
+
+// first returns the addresses of the n candidates with the highest hashes for a
+// key.
+func first(key string, candidates []candidate, n int) []string {
+	if n >= len(candidates) {
+		return addressesOf(candidates)
+	}
+	hash := xxhash.Sum64String(key)
+	byHash := slices.Clone(candidates)
+	slices.SortFunc(byHash, func(a, b candidate) int { return cmp.Compare(mix(b.hash^hash), mix(a.hash^hash)) })
+	return addressesOf(byHash[:n])
+}
+
+// mix spreads the bits of a number: the finaliser of splitmix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // planReading lets two instances of a zone read the platform for all others, in
@@ -92,10 +180,6 @@
 	return out
 }
 
-// sharedHomes is the mean number of homes that an instance has of each service,
-// where many share a zone.
-const sharedHomes = 3
-
 // zoneReaders is the number of instances of a zone that read for the others.
 const zoneReaders = 2
 
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -373,6 +373,13 @@
 	if x != nil && x.incarnation == r.Incarnation && r.Sequence <= x.sequence {
 		return
 	}
+	if r.Partial {
+		if x != nil && x.incarnation == r.Incarnation {
+			x.sequence = r.Sequence
+			s.noticeReceived(x, r.Loads)
+		}
+		return
+	}
 	if r.Leaving {
 		s.memberLeft(x)
 		return
--- a/internal/scheduler/placement_test.go
+++ b/internal/scheduler/placement_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/balsamstair/balsamstair/internal/routing"
 	"github.com/shoenig/test/must"
 )
 
@@ -211,7 +212,8 @@
 }
 
 // Load pattern: overload before many instances, which hear of a free slot at
-// the same moment. Each fills its own homes and leaves room at the others'.
+// the same moment. Each fills its own homes and leaves the others' alone. Once
+// its homes fail it turns to the others', where it leaves room.
 func TestManyInstancesDoNotRushForTheSameSlot(t *testing.T) {
 	const slots = 6
 	i := serving(t, 20, slots)
@@ -232,10 +234,136 @@
 			homes++
 			must.Eq(t, slots+endpointDepth, perEndpoint[id])
 		} else {
-			must.Eq(t, slots-awayMargin, perEndpoint[id])
+			must.Eq(t, 0, perEndpoint[id])
 		}
 	}
 	must.Between(t, 1, homes, 9)
+
+	for id, d := range i.dispatched {
+		if i.s.endpoints[d.Endpoint.ID].home {
+			i.end(id, Attempt{Outcome: Broken})
+		}
+	}
+	for range 400 {
+		i.arrive(route("r", 0), nil)
+	}
+	clear(perEndpoint)
+	for _, d := range i.dispatched {
+		perEndpoint[d.Endpoint.ID]++
+	}
+	must.MapLen(t, 20-homes, perEndpoint)
+	for id := range perEndpoint {
+		must.Eq(t, slots-awayMargin, perEndpoint[id])
+	}
+}
+
+// large returns an instance of zone "a" that has heard 20 others of its zone and
+// 40 of two more, and knows endpoints in every zone.
+func large(t *testing.T, endpointsPerZone int) *instance {
+	i := newInstance(t, testConfig())
+	i.configure(routing.Config{Version: 1})
+	for z, zone := range []string{"a", "b", "c"} {
+		for n := range endpointsPerZone {
+			c := engine(100*z+n, 6)
+			c.Endpoint.Zone = zone
+			i.change(c)
+		}
+		for n := range 20 {
+			at := 100*z + n + 1
+			i.step(PeerReported{Report: Report{Incarnation: uint64(at + 1), Sequence: 1, Address: address(at), Zone: zone}})
+		}
+	}
+	i.pass(TickInterval)
+	return i
+}
+
+// Load pattern: a zone that gets more than its share. Some endpoints of other
+// zones are open to each of its instances, and each is open to few.
+func TestEndpointsOfOtherZonesHaveFewGuests(t *testing.T) {
+	i := large(t, 20)
+	near, far := 0, 0
+	for _, e := range i.s.endpoints {
+		switch {
+		case e.home:
+			near++
+		case !e.away:
+			far++
+			must.NotEq(t, "a", e.Zone)
+		}
+		must.LessEq(t, maxSharers, len(e.sharers))
+		must.Eq(t, e.away, len(e.sharers) == 0)
+	}
+	must.Between(t, 1, near, 3*meanHomes)
+	must.Between(t, 1, far, 4*meanGuests)
+}
+
+// Load pattern: a service with one endpoint in each zone.
+func TestEndpointsOfASmallServiceAreOpenToAll(t *testing.T) {
+	i := large(t, 1)
+	for _, e := range i.s.endpoints {
+		must.Eq(t, e.Zone == "a", e.home)
+		must.False(t, e.Zone == "a" && e.away)
+		must.SliceEmpty(t, e.sharers)
+	}
+	far := 0
+	for _, e := range i.s.endpoints {
+		if !e.home && !e.away {
+			far++
+		}
+	}
+	must.Between(t, 1, far, 2)
+}
+
+// Load pattern: as many requests as the slots hold, before instances that share
+// their endpoints. Each change is told at once, to those concerned; a slot that
+// is filled again in the same step is no change.
+func TestSharersAreToldOfEveryChange(t *testing.T) {
+	i := large(t, 20)
+	i.reports = nil
+	id := i.arrive(route("r", 0), nil)
+	at := i.s.endpoints[i.dispatched[id].Endpoint.ID]
+	notice := func() SendReport {
+		t.Helper()
+		must.Len(t, 1, i.reports)
+		n := i.reports[0]
+		i.reports = nil
+		must.True(t, n.Report.Partial)
+		must.Eq(t, at.sharers, n.To)
+		return n
+	}
+	must.Eq(t, []EndpointLoad{{Endpoint: at.ID, Running: 1}}, notice().Report.Loads)
+	i.end(id, Attempt{Outcome: Completed})
+	must.Eq(t, []EndpointLoad{{Endpoint: at.ID}}, notice().Report.Loads)
+
+	for range 400 {
+		id = i.arrive(route("r", 0), nil)
+	}
+	for id = range i.dispatched {
+		break
+	}
+	i.reports = nil
+	i.end(id, Attempt{Outcome: Completed})
+	must.SliceEmpty(t, i.reports)
+}
+
+func TestNoticesChangeWhatIsKnownOfOneEndpoint(t *testing.T) {
+	i := serving(t, 2, 10)
+	tell := func(sequence uint64, partial bool, loads ...EndpointLoad) {
+		i.step(PeerReported{Report: Report{Incarnation: 2, Sequence: sequence, Address: address(1), Zone: "a", Partial: partial, Loads: loads}})
+	}
+	load := func(id string) int { return i.s.endpoints[id].load() }
+	tell(1, true, EndpointLoad{Endpoint: "e0", Running: 9})
+	must.Eq(t, 0, load("e0"), must.Sprint("an unknown sender"))
+	tell(2, false, EndpointLoad{Endpoint: "e0", Running: 3})
+	tell(3, true, EndpointLoad{Endpoint: "e1", Running: 2, Prefill: 70})
+	must.Eq(t, []int{3, 2, 70}, []int{load("e0"), load("e1"), i.s.endpoints["e1"].backlog()})
+	tell(2, true, EndpointLoad{Endpoint: "e1", Running: 8})
+	must.Eq(t, 2, load("e1"), must.Sprint("an older notice"))
+	tell(4, true, EndpointLoad{Endpoint: "e1"}, EndpointLoad{Endpoint: "gone", Running: 1})
+	must.Eq(t, []int{3, 0}, []int{load("e0"), load("e1")})
+	tell(5, true, EndpointLoad{Endpoint: "e1", Running: 1})
+	tell(6, false)
+	must.Eq(t, []int{0, 0}, []int{load("e0"), load("e1")}, must.Sprint("a whole report"))
 }
 
 // Load pattern: the same, before a service of a single endpoint in the zone. It
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -82,8 +82,8 @@
 	// instance, in the same unit. Instances of a zone then work at different
 	// endpoints while there is room, and each knows most of its own.
 	awayCost = 1.0
-	// awayMargin is the number of slots that an instance leaves free at another's
-	// home where many share them: what the others send at the same moment, each
+	// awayMargin is the number of slots that an instance leaves free at an
+	// endpoint that is left to others: what they send at the same moment, each
 	// in the belief that the last slot is free.
 	awayMargin = 2
 	// backlogTokens is the number of prompt tokens still to be read that costs
@@ -146,13 +146,24 @@
 }
 
 // choose returns the endpoint of least cost that has room for r, or nil.
+// Endpoints that are left to other instances are a last resort.
 func (s *State) choose(p *pool, r *request) *endpoint {
-	var best *endpoint
+	best, found := s.chooseAmong(p, r, false)
+	if !found {
+		best, _ = s.chooseAmong(p, r, true)
+	}
+	return best
+}
+
+// chooseAmong chooses among the endpoints that are left to others, or among
+// the rest. found says that there is any that could be used, if it had room.
+func (s *State) chooseAmong(p *pool, r *request, away bool) (best *endpoint, found bool) {
 	bestCost := 0.0
 	for _, e := range p.endpoints {
-		if !s.usable(e) || r.hasTried(e) {
+		if e.away != away || !s.usable(e) || r.hasTried(e) {
 			continue
 		}
+		found = true
 		load := e.load()
 		if load >= e.room() {
 			continue
@@ -161,7 +172,7 @@
 			best, bestCost = e, cost
 		}
 	}
-	return best
+	return best, found
 }
 
 func (s *State) cost(e *endpoint, load int) float64 {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -99,6 +99,7 @@
 	e.mine++
 	e.prefill += r.PromptTokens
 	r.prefilling = true
+	s.noteLoad(e)
 	s.emit(Dispatch{
 		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued),
 		Basis: []any{"endpoint_load", e.load(), "endpoint_slots", e.slots, "endpoint_backlog_tokens", e.backlog(),
@@ -121,9 +122,10 @@
 }
 
 // leave frees the request's place at its endpoint.
-func (r *request) leave() {
+func (s *State) leave(r *request) {
 	r.prefilled()
 	r.at.mine--
+	s.noteLoad(r.at)
 	r.at = nil
 }
 
@@ -136,7 +138,7 @@
 	}
 	p := s.pool(r.Service)
 	if r.at != nil {
-		r.leave()
+		s.leave(r)
 	} else {
 		p.dequeue(r)
 	}
@@ -195,7 +197,7 @@
 		return
 	}
 	e := r.at
-	r.leave()
+	s.leave(r)
 	s.count(CounterOutcomes, a.Outcome.String())
 	s.observe(e, r, a)
 	if a.Outcome != NotSent && a.Outcome != NotRun && a.Outcome != Misdirected {
--- /dev/null
+++ b/internal/scheduler/simulation_test.go
@@ -0,0 +1,254 @@
+package scheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/balsamstair/balsamstair/internal/routing"
+	"github.com/shoenig/test/must"
+)
+
+// simulation is a whole system in one process and in simulated time: instances that
+// report to each other, and engines that work at a fixed number of requests and
+// queue the others in order of arrival.
+type simulation struct {
+	now       Instant
+	rand      *rand.Rand
+	instances []*simInstance
+	byAddress map[string]*simInstance
+	engines   map[string]*simEngine
+	events    simEvents
+	sequence  int
+	nextID    RequestID
+	arrivedAt map[RequestID]Instant
+	// engineWaits are the times that dispatched requests waited at an engine.
+	engineWaits []time.Duration
+	refused     int
+	dispatches  int
+	away        int
+}
+
+type simInstance struct {
+	s       *State
+	address string
+	zone    string
+}
+
+type simEngine struct {
+	id      string
+	zone    string
+	slots   int
+	running int
+	waiting []simJob
+	most    int
+}
+
+type simJob struct {
+	at   *simInstance
+	id   RequestID
+	sent Instant
+}
+
+type simEvent struct {
+	at       Instant
+	sequence int
+	run      func()
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int      { return len(e) }
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e simEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
+}
+func (e *simEvents) Push(x any) { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+const (
+	// simDelay is the time a report or a request is under way.
+	simDelay = time.Millisecond
+	// simService is the mean time for which a request holds a slot.
+	simService = 500 * time.Millisecond
+)
+
+// newSimulation returns instances that have found each other.
+func newSimulation(instances, zones, engines, slots int) *simulation {
+	f := &simulation{
+		now: Instant(time.Hour), rand: rand.New(rand.NewPCG(1, 2)), byAddress: map[string]*simInstance{},
+		engines: map[string]*simEngine{}, arrivedAt: map[RequestID]Instant{},
+	}
+	var entries []directory.Change
+	for n := range engines {
+		c := engine(n, slots)
+		c.Endpoint.Zone = fmt.Sprint(n % zones)
+		c.Endpoint.Address = fmt.Sprintf("10.1.%d.%d:1", n/250, n%250)
+		entries = append(entries, c)
+		f.engines[c.EndpointID] = &simEngine{id: c.EndpointID, zone: c.Endpoint.Zone, slots: slots}
+	}
+	var seeds []string
+	for n := range instances {
+		address := fmt.Sprintf("10.2.%d.%d:1", n/250, n%250)
+		if n < 3 {
+			seeds = append(seeds, address)
+		}
+		f.instances = append(f.instances, &simInstance{address: address, zone: fmt.Sprint(n % zones)})
+	}
+	for n, i := range f.instances {
+		cfg := testConfig()
+		cfg.Address, cfg.Zone, cfg.Seeds = i.address, i.zone, seeds
+		cfg.Incarnation, cfg.Seed = uint64(n+1), uint64(n+1)
+		i.s = New(cfg, f.now)
+		f.byAddress[i.address] = i
+		c := routing.Config{Version: 1, Organisations: simOrganisations()}
+		f.step(i, DirectoryRead{Update: directory.Update{Asked: int64(f.now), Whole: true, Batch: directory.Batch{
+			Changes: append([]directory.Change{{Config: &c}}, entries...), Revision: 1}}})
+		f.after(time.Duration(f.rand.Int64N(int64(TickInterval))), func() { f.tick(i) })
+	}
+	return f
+}
+
+func simOrganisations() []routing.Organisation {
+	var out []routing.Organisation
+	for n := range 16 {
+		out = append(out, routing.Organisation{Name: fmt.Sprintf("org%d", n),
+			Quota: routing.Quota{RatePerSecond: 1e9, Burst: 1e9, InTokens: true, DefaultTokens: 200}})
+	}
+	return out
+}
+
+func (f *simulation) after(d time.Duration, run func()) {
+	f.sequence++
+	heap.Push(&f.events, simEvent{f.now.Add(d), f.sequence, run})
+}
+
+func (f *simulation) tick(i *simInstance) {
+	f.step(i, DirectoryRead{Update: directory.Update{Asked: int64(f.now)}})
+	f.step(i, Tick{})
+	f.after(TickInterval, func() { f.tick(i) })
+}
+
+// pass plays what happens in a span of time.
+func (f *simulation) pass(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.events) > 0 && f.events[0].at <= end {
+		e := heap.Pop(&f.events).(simEvent)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+func (f *simulation) step(i *simInstance, ev Event) {
+	for _, e := range i.s.Step(f.now, ev) {
+		switch e := e.(type) {
+		case SendReport:
+			for _, to := range e.To {
+				if other := f.byAddress[to]; other != nil {
+					f.after(simDelay, func() { f.step(other, PeerReported{Report: e.Report}) })
+				}
+			}
+		case Dispatch:
+			f.dispatches++
+			if e.Endpoint.Zone != i.zone {
+				f.away++
+			}
+			job := simJob{i, e.ID, f.now}
+			f.after(simDelay, func() { f.reach(f.engines[e.Endpoint.ID], job) })
+		case Refuse:
+			f.refused++
+		}
+	}
+}
+
+func (f *simulation) reach(e *simEngine, job simJob) {
+	if e.running >= e.slots {
+		e.waiting = append(e.waiting, job)
+		return
+	}
+	f.begin(e, job)
+}
+
+func (f *simulation) begin(e *simEngine, job simJob) {
+	e.running++
+	f.engineWaits = append(f.engineWaits, f.now.Sub(job.sent))
+	f.step(job.at, AnswerBegun{ID: job.id})
+	f.after(time.Duration(f.rand.ExpFloat64()*float64(simService)), func() {
+		e.running--
+		f.step(job.at, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: Completed, FirstByte: 200 * time.Millisecond}})
+		if len(e.waiting) > 0 {
+			next := e.waiting[0]
+			e.waiting = e.waiting[1:]
+			f.begin(e, next)
+		}
+	})
+}
+
+// load lets requests arrive at a rate a second for a span of time. The balancer
+// gives some instances twice what others get.
+func (f *simulation) load(rate float64, d time.Duration) {
+	f.engineWaits, f.refused, f.dispatches, f.away = nil, 0, 0, 0
+	var arrive func()
+	end := f.now.Add(d)
+	r := route("r", 0)
+	arrive = func() {
+		if f.now >= end {
+			return
+		}
+		n := int(math.Sqrt(f.rand.Float64()) * float64(len(f.instances)))
+		f.nextID++
+		f.step(f.instances[n], Arrived{Request: Request{
+			ID: f.nextID, Name: "r", Route: r, Service: service, Fingerprint: uint64(f.nextID), PromptTokens: 2000, Tokens: 2100,
+			Organisation:   &f.instances[n].s.table.Organisations()[f.nextID%16],
+			CallerDeadline: f.now.Add(5 * time.Second), Deadline: f.now.Add(5 * time.Second),
+		}})
+		f.after(time.Duration(f.rand.ExpFloat64()/rate*float64(time.Second)), arrive)
+	}
+	arrive()
+	f.pass(d)
+}
+
+// engineWait returns the time that a share of the dispatched requests waited at
+// an engine at most.
+func (f *simulation) engineWait(share float64) time.Duration {
+	waits := slices.Clone(f.engineWaits)
+	slices.Sort(waits)
+	if len(waits) == 0 {
+		return 0
+	}
+	return waits[int(share*float64(len(waits)-1))]
+}
+
+// Load pattern: a burst half as large again as what the engines can do, then the
+// usual, before instances of which each has a few requests a second. What the
+// engines queue is out of the scheduler's hands: a later, more urgent request
+// can't pass it, and a refusal can't spare its caller the wait. No request may
+// spend its whole objective there, and the burst must leave no slot unused.
+func TestEnginesDoNotQueueWhatTheSchedulerShouldHold(t *testing.T) {
+	const span = 2 * time.Second
+	for _, size := range []struct{ instances, engines, slots int }{{6, 18, 10}, {84, 90, 6}} {
+		f := newSimulation(size.instances, 4, size.engines, size.slots)
+		f.pass(3 * time.Second)
+		capacity := float64(size.engines*size.slots) / simService.Seconds()
+		objective := route("r", 0).Target
+		for _, load := range []float64{0.5, 1.5, 0.8} {
+			f.load(load*capacity, span)
+			used := float64(f.dispatches) / span.Seconds() / capacity
+			t.Logf("%d instances, load %.1f: dispatched %.2f of capacity, %d to other zones, %d refused, wait at engines p50 %v p99 %v",
+				size.instances, load, used, f.away, f.refused, f.engineWait(0.5).Round(time.Millisecond), f.engineWait(0.99).Round(time.Millisecond))
+			must.Less(t, objective, f.engineWait(0.99))
+			must.GreaterEq(t, 0.95*min(load, 1), used)
+		}
+	}
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -56,9 +56,15 @@
 	members   members
 	crashes   map[uint64]*crashCount
 	homesDue  Instant
-	plan      directory.Plan
-	leaving   bool
-	ready     bool
+	// reached are the instances among which endpoints were divided last, with
+	// this one; endpointsChanged says that there are other endpoints since.
+	reached          []candidate
+	endpointsChanged bool
+	plan             directory.Plan
+	// changedLoads holds endpoints of which others may have to be told.
+	changedLoads []*endpoint
+	leaving      bool
+	ready        bool
 }
 
 // New returns the state of a process that starts now and knows nothing.
@@ -105,6 +111,7 @@
 	case Tick:
 		s.tick()
 	}
+	s.sendNotices()
 	s.updateReady()
 	return s.effects
 }
