--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -46,7 +46,6 @@
 	slots   int
 	running int
 	waiting []simJob
-	most    int
 }
 
 type simJob struct {
