Gossip: reports to other zones of a large system carry no loads, and whole numbers

Change: since few share an endpoint and tell each other, other zones get no loads and three addresses (twelve while they are young); usage in whole units. A notice is repeated after a second, as nothing else makes up for a lost one.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/gossip/gossippb"
@@ -23,9 +24,13 @@
 		Known:       uint32(r.Known),
 		Zone:        r.Zone,
 		Partial:     r.Partial,
+
+		WithoutLoads: r.WithoutLoads,
 	}
 	for _, u := range r.Usage {
-		m.Usage = append(m.Usage, &gossippb.Usage{Organisation: u.Organisation, Used: u.Used, Level: u.Level})
+		m.Usage = append(m.Usage, &gossippb.Usage{
+			Organisation: u.Organisation, Used: uint64(u.Used), Level: int64(math.Floor(u.Level)),
+		})
 	}
 	for _, l := range r.Loads {
 		m.Loads = append(m.Loads, &gossippb.EndpointLoad{Endpoint: l.Endpoint, Running: uint32(l.Running), Prefill: uint32(l.Prefill)})
@@ -57,9 +62,11 @@
 		Known:       int(m.GetKnown()),
 		Zone:        m.GetZone(),
 		Partial:     m.GetPartial(),
+
+		WithoutLoads: m.GetWithoutLoads(),
 	}
 	for _, u := range m.GetUsage() {
-		r.Usage = append(r.Usage, scheduler.Usage{Organisation: u.GetOrganisation(), Used: u.GetUsed(), Level: u.GetLevel()})
+		r.Usage = append(r.Usage, scheduler.Usage{Organisation: u.GetOrganisation(), Used: float64(u.GetUsed()), Level: float64(u.GetLevel())})
 	}
 	for _, l := range m.GetLoads() {
 		r.Loads = append(r.Loads, scheduler.EndpointLoad{Endpoint: l.GetEndpoint(), Running: int(l.GetRunning()), Prefill: int(l.GetPrefill())})
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -50,6 +50,8 @@
 	// they are few; told is the last load that they were told of.
 	sharers []string
 	told    int
+	// repeat says that the load changed since it was last told as a repeat.
+	repeat bool
 	// failures counts the failures in a row.
 	failures       int
 	suspendedUntil Instant
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -131,6 +131,8 @@
 	Age time.Duration
 	// Partial reports hold nothing but the loads that have changed.
 	Partial bool
+	// WithoutLoads says that Loads are left out although there may be some.
+	WithoutLoads bool
 	// Leaving instances take no new work.
 	Leaving bool
 	// Version is the configuration in force at the sender.
@@ -150,7 +152,7 @@
 // Usage is what the sender has admitted of one organisation.
 type Usage struct {
 	Organisation string
-	// Used is the sum of costs since the sender's start.
+	// Used is the sum of costs since the sender's start, a whole number.
 	Used float64
 	// Level is the sender's view of the organisation's bucket.
 	Level float64
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// largeSystem is the number of other instances from which on each works
+	// largeMembers is the number of other instances from which on each works
 	// with a few endpoints. Up to it, all can afford to tell each other of all.
-	largeSystem = membersAtInterval
+	largeMembers = membersAtInterval
 	// meanHomes and meanGuests are the mean numbers of endpoints of a service,
 	// in the own and in other availability zones, that an instance of a large
 	// system works with. Simulated at 84 instances, three homes refuse requests
@@ -52,13 +52,16 @@
 	s.reached = reached
 	neighbours, _ := divideByZone(reached, s.cfg.Zone)
 	s.planReading(addressesOf(neighbours))
-	if len(reached) <= largeSystem+1 {
-		s.shareAll(neighbours)
-	} else {
+	if s.largeSystem() {
 		s.shareFew()
+	} else {
+		s.shareAll(neighbours)
 	}
 }
 
+// largeSystem reports whether each instance works with a few endpoints only.
+func (s *State) largeSystem() bool { return len(s.reached) > largeMembers+1 }
+
 func newCandidate(address, zone string) candidate {
 	return candidate{address, zone, xxhash.Sum64String(address)}
 }
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -35,8 +35,10 @@
 	// youth is the age up to which an instance may not know of others that are
 	// out of its reach.
 	youth = 10 * time.Second
-	// reportedMembers bounds the addresses in one report.
+	// reportedMembers bounds the addresses in a report to the own zone and to
+	// young members, strangerMembers those in other reports.
 	reportedMembers = 12
+	strangerMembers = 3
 )
 
 // member is another instance that was heard.
@@ -46,6 +48,8 @@
 	incarnation uint64
 	sequence    uint64
 	heard       Instant
+	// joined is when the member was first heard.
+	joined Instant
 	// reported is when the member was last sent a report.
 	reported Instant
 	// used is what the member had admitted by its last report.
@@ -311,12 +315,42 @@
 	return out
 }
 
+// sendReports sends what the addressees need. In a large system instances of
+// other zones get no loads: the few that share endpoints have notices.
 func (s *State) sendReports(to []string) {
 	if len(to) == 0 {
 		return
 	}
+	s.members.sequence++
+	var near, young, far []string
+	for _, a := range to {
+		x := s.members.byAddress[a]
+		switch {
+		case x == nil || x.zone == s.cfg.Zone || !s.largeSystem():
+			near = append(near, a)
+		case s.now.Sub(x.joined) <= youth:
+			young = append(young, a)
+		default:
+			far = append(far, a)
+		}
+	}
+	report := s.report()
+	if len(near) > 0 {
+		s.emit(SendReport{To: near, Report: report})
+	}
+	report.Loads, report.WithoutLoads = nil, true
+	if len(young) > 0 {
+		s.emit(SendReport{To: young, Report: report})
+	}
+	report.Members = report.Members[:min(strangerMembers, len(report.Members))]
+	if len(far) > 0 {
+		s.emit(SendReport{To: far, Report: report})
+	}
+}
+
+// report returns the whole report of now.
+func (s *State) report() Report {
 	m := &s.members
-	m.sequence++
 	report := Report{
 		Incarnation: s.cfg.Incarnation,
 		Sequence:    m.sequence,
@@ -334,7 +368,7 @@
 	if s.table != nil {
 		report.Version = s.table.Version()
 	}
-	s.emit(SendReport{To: to, Report: report})
+	return report
 }
 
 // someMembers returns addresses of members in reach, others at each call.
@@ -404,7 +438,9 @@
 	x.demand = r.Demand
 	s.learnMembers(r.Members)
 	s.learnUsage(x, r.Usage, joining)
-	s.learnLoads(x, r.Loads)
+	if !r.WithoutLoads {
+		s.learnLoads(x, r.Loads)
+	}
 	s.learnCrashes(r.Crashes)
 }
 
@@ -413,7 +449,7 @@
 		s.dropLoads(before)
 	}
 	x := &member{
-		address: r.Address, zone: r.Zone, incarnation: r.Incarnation, reported: s.now,
+		address: r.Address, zone: r.Zone, incarnation: r.Incarnation, joined: s.now, reported: s.now,
 		used: map[string]float64{}, younger: r.Age < s.now.Sub(s.started), old: r.Age > youth,
 	}
 	s.members.byAddress[r.Address] = x
--- a/internal/scheduler/placement_test.go
+++ b/internal/scheduler/placement_test.go
@@ -377,3 +377,81 @@
 	must.True(t, i.s.endpoints["e0"].home)
 	must.Eq(t, 6+endpointDepth, i.s.endpoints["e0"].room())
 }
+
+// Load pattern: many instances in several zones, whose reports to each other
+// are what costs most between zones.
+func TestReportsToOtherZonesOfALargeSystemAreSmall(t *testing.T) {
+	i := large(t, 20)
+	for range 50 {
+		i.arrive(route("r", 0), nil)
+	}
+	for age := time.Duration(0); age < youth+time.Second; age += TickInterval {
+		for z, zone := range []string{"a", "b", "c"} {
+			for n := range 20 {
+				at := 100*z + n + 1
+				i.step(PeerReported{Report: Report{Incarnation: uint64(at + 1), Sequence: uint64(2 + age), Address: address(at), Zone: zone}})
+			}
+		}
+		i.pass(TickInterval)
+	}
+	i.reports = nil
+	i.pass(time.Second)
+	near, far := 0, 0
+	for _, sent := range i.reports {
+		if sent.Report.Partial {
+			continue
+		}
+		for _, to := range sent.To {
+			if i.s.members.byAddress[to].zone == "a" {
+				near++
+				must.SliceNotEmpty(t, sent.Report.Loads)
+				must.False(t, sent.Report.WithoutLoads)
+				continue
+			}
+			far++
+			must.True(t, sent.Report.WithoutLoads)
+			must.SliceEmpty(t, sent.Report.Loads)
+			must.LessEq(t, strangerMembers, len(sent.Report.Members))
+		}
+	}
+	must.Positive(t, near)
+	must.Positive(t, far)
+}
+
+func TestReportWithoutLoadsLeavesWhatNoticesTold(t *testing.T) {
+	i := serving(t, 1, 10)
+	tell := func(r Report) {
+		r.Incarnation, r.Address, r.Zone = 2, address(1), "b"
+		i.step(PeerReported{Report: r})
+	}
+	tell(Report{Sequence: 1, WithoutLoads: true})
+	tell(Report{Sequence: 2, Partial: true, Loads: []EndpointLoad{{Endpoint: "e0", Running: 3}}})
+	tell(Report{Sequence: 3, WithoutLoads: true})
+	must.Eq(t, 3, i.s.endpoints["e0"].load())
+	tell(Report{Sequence: 4})
+	must.Eq(t, 0, i.s.endpoints["e0"].load())
+}
+
+// Load pattern: links that lose packets. A lost notice is made up for by the
+// next repeat, also that of an endpoint that is idle again.
+func TestNoticesAreRepeated(t *testing.T) {
+	i := large(t, 20)
+	id := i.arrive(route("r", 0), nil)
+	at := i.dispatched[id].Endpoint.ID
+	told := func() (last *EndpointLoad) {
+		i.reports = nil
+		i.pass(noticeRepeat)
+		for _, sent := range i.reports {
+			if sent.Report.Partial && sent.Report.Loads[0].Endpoint == at {
+				last = &sent.Report.Loads[0]
+			}
+		}
+		return last
+	}
+	for range 3 {
+		must.Eq(t, &EndpointLoad{Endpoint: at, Running: 1}, told())
+	}
+	i.end(id, Attempt{Outcome: Completed})
+	must.Eq(t, &EndpointLoad{Endpoint: at}, told())
+	must.Nil(t, told())
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -62,9 +62,10 @@
 	endpointsChanged bool
 	plan             directory.Plan
 	// changedLoads holds endpoints of which others may have to be told.
-	changedLoads []*endpoint
-	leaving      bool
-	ready        bool
+	changedLoads    []*endpoint
+	noticesRepeated Instant
+	leaving         bool
+	ready           bool
 }
 
 // New returns the state of a process that starts now and knows nothing.
@@ -130,6 +131,7 @@
 		s.place(p)
 	}
 	s.gossip()
+	s.repeatNotices()
 }
 
 // updateReady tells when new connections are or are not wanted. An instance
