--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -57,6 +57,23 @@
 	} else {
 		s.shareAll(neighbours)
 	}
+	s.logDivision()
+}
+
+// logDivision tells with how many endpoints the instance works.
+func (s *State) logDivision() {
+	homes, guests, sharers := 0, 0, 0
+	for _, e := range s.endpoints {
+		sharers = max(sharers, len(e.sharers))
+		switch {
+		case e.home:
+			homes++
+		case !e.away:
+			guests++
+		}
+	}
+	s.log("endpoints_divided", "instances", len(s.reached), "endpoints", len(s.endpoints),
+		"homes", homes, "guest_of", guests, "most_sharers", sharers)
 }
 
 // largeSystem reports whether each instance works with a few endpoints only.
