--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -218,6 +218,20 @@
 	f.pass(d)
 }
 
+// lose ends the engines of a zone.
+func (f *simulation) lose(zone string) {
+	var gone []directory.Change
+	for n := range len(f.engines) {
+		id := fmt.Sprintf("e%d", n)
+		if f.engines[id].zone == zone {
+			gone = append(gone, directory.Change{EndpointID: id, Revision: 2})
+		}
+	}
+	for _, i := range f.instances {
+		f.step(i, DirectoryRead{Update: directory.Update{Asked: int64(f.now), Batch: directory.Batch{Changes: gone, Revision: 2}}})
+	}
+}
+
 // engineWait returns the time that a share of the dispatched requests waited at
 // an engine at most.
 func (f *simulation) engineWait(share float64) time.Duration {
@@ -251,3 +265,20 @@
 		}
 	}
 }
+
+// Load pattern: the engines of one zone are lost, and its callers stay. Those
+// that are left can do all of the work, so none may be refused.
+func TestZoneWithoutEnginesIsServedByTheOthers(t *testing.T) {
+	const zones = 4
+	for _, size := range []struct{ instances, engines, slots int }{{6, 18, 10}, {12, 18, 10}, {30, 36, 6}} {
+		f := newSimulation(size.instances, zones, size.engines, size.slots)
+		f.pass(3 * time.Second)
+		f.lose("0")
+		f.pass(time.Second)
+		left := float64(size.engines*size.slots) * (zones - 1) / zones / simService.Seconds()
+		f.load(0.6*left, 2*time.Second)
+		t.Logf("%d instances: %d dispatched, %d refused, wait at engines p99 %v", size.instances, f.dispatches, f.refused, f.engineWait(0.99))
+		must.Eq(t, 0, f.refused)
+		must.Less(t, route("r", 0).Target, f.engineWait(0.99))
+	}
+}
