Scheduler: a new or returned endpoint is not rushed

A new endpoint was open to every instance until the next division (0.5 s), and all instances learn of it at the same moment with requests waiting. Change: new endpoints are divided before the first request; each instance begins with its part of the slots and widens with each answer that begins; where more instances than slots share an endpoint they begin one after the other. Ruled out: connections kept idle (resets came within 8 ms of the listing).

--- a/internal/scheduler/belief.go
+++ b/internal/scheduler/belief.go
@@ -98,11 +98,27 @@
 			}
 		}
 	}
+	s.welcomeFresh()
 	for _, p := range s.poolOrder {
 		s.place(p)
 	}
 }
 
+// welcomeFresh divides new endpoints among the instances before the first
+// request is sent to one.
+func (s *State) welcomeFresh() {
+	if len(s.fresh) == 0 {
+		return
+	}
+	if s.largeSystem() {
+		s.shareFew()
+	}
+	for _, e := range s.fresh {
+		s.startSlowly(e)
+	}
+	s.fresh = s.fresh[:0]
+}
+
 // adopt puts a configuration in force unless a newer one is: versions only
 // increase.
 func (s *State) adopt(c *routing.Config, revision int64) {
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -17,6 +17,9 @@
 	// fullPause is how long an endpoint that turned a request away gets
 	// nothing: about the time in which one of its running requests ends.
 	fullPause = 60 * time.Millisecond
+	// startSpread is the time between the first requests that two instances send
+	// to a new endpoint: about what a slot of a plain service needs for one.
+	startSpread = 10 * time.Millisecond
 	// paceWeight is the weight of a new sample in moving averages of speed.
 	paceWeight = 0.1
 	// failureWeight is the weight of a new sample in the share of failures.
@@ -56,6 +59,9 @@
 	failures       int
 	suspendedUntil Instant
 	fullUntil      Instant
+	// window bounds this instance's requests at an endpoint that is new or comes
+	// back, and grows with each one that begins to be answered.
+	window int
 	// slowness is the endpoint's time relative to the mean of its service.
 	slowness float64
 	// failing is the moving share of attempts that the endpoint spoiled.
@@ -107,6 +113,7 @@
 		e = &endpoint{others: map[uint64]EndpointLoad{}, slowness: 1}
 		s.endpoints[entry.ID] = e
 		s.endpointsChanged = true
+		s.fresh = append(s.fresh, e)
 	}
 	changed := fresh || e.Leaving != entry.Leaving
 	e.Endpoint = entry
@@ -155,6 +162,29 @@
 	}
 }
 
+// startSlowly keeps the instances from sending all that waits to an endpoint of
+// which all learn at the same moment. Each begins with its part of the slots;
+// where more instances than slots work with it, they begin one after the other.
+func (s *State) startSlowly(e *endpoint) {
+	instances := s.workingWith(e)
+	e.window = quotient(e.slots+endpointDepth, instances)
+	if instances > e.slots {
+		spread := startSpread * time.Duration(instances)
+		e.fullUntil = max(e.fullUntil, s.now.Add(time.Duration(s.rand.Int64N(int64(spread)))))
+	}
+}
+
+// widen lets one more request of this instance run at e.
+func (e *endpoint) widen() { e.window = min(e.window+1, e.slots+endpointDepth) }
+
+// workingWith is the number of instances that send requests to e.
+func (s *State) workingWith(e *endpoint) int {
+	if len(e.sharers) > 0 {
+		return 1 + len(e.sharers)
+	}
+	return max(1, len(s.reached))
+}
+
 // observe learns from the end of an attempt at e.
 func (s *State) observe(e *endpoint, r *request, a Attempt) {
 	spoiled := 0.0
@@ -171,6 +201,7 @@
 		spoiled = 1
 	case Completed:
 		e.failures = 0
+		e.widen()
 		s.observeSpeed(e, r, a)
 	case Abandoned:
 		return
@@ -183,6 +214,7 @@
 	e.failures++
 	pause := min(firstSuspension<<min(e.failures-1, 8), maxSuspension)
 	e.suspendedUntil = s.now.Add(pause)
+	s.startSlowly(e)
 	s.log("endpoint_suspended", "endpoint", e.ID, "failures", e.failures, "for_ms", pause.Milliseconds())
 }
 
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -165,7 +165,7 @@
 		}
 		found = true
 		load := e.load()
-		if load >= e.room() {
+		if load >= e.room() || e.mine >= e.window {
 			continue
 		}
 		if cost := s.cost(e, load); best == nil || cost < bestCost {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -111,6 +111,7 @@
 func (s *State) answerBegun(id RequestID) {
 	if r := s.requests[id]; r != nil && r.at != nil {
 		r.prefilled()
+		r.at.widen()
 	}
 }
 
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -32,6 +32,8 @@
 	refused     int
 	dispatches  int
 	away        int
+	// work is the mean time for which a request holds a slot.
+	work time.Duration
 }
 
 type simInstance struct {
@@ -78,7 +80,7 @@
 const (
 	// simDelay is the time a report or a request is under way.
 	simDelay = time.Millisecond
-	// simService is the mean time for which a request holds a slot.
+	// simService is work of a model engine.
 	simService = 500 * time.Millisecond
 )
 
@@ -86,7 +88,7 @@
 func newSimulation(instances, zones, engines, slots int) *simulation {
 	f := &simulation{
 		now: Instant(time.Hour), rand: rand.New(rand.NewPCG(1, 2)), byAddress: map[string]*simInstance{},
-		engines: map[string]*simEngine{}, arrivedAt: map[RequestID]Instant{},
+		work: simService, engines: map[string]*simEngine{}, arrivedAt: map[RequestID]Instant{},
 	}
 	var entries []directory.Change
 	for n := range engines {
@@ -183,7 +185,7 @@
 	e.running++
 	f.engineWaits = append(f.engineWaits, f.now.Sub(job.sent))
 	f.step(job.at, AnswerBegun{ID: job.id})
-	f.after(time.Duration(f.rand.ExpFloat64()*float64(simService)), func() {
+	f.after(time.Duration(f.rand.ExpFloat64()*float64(f.work)), func() {
 		e.running--
 		f.step(job.at, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: Completed, FirstByte: 200 * time.Millisecond}})
 		if len(e.waiting) > 0 {
@@ -232,6 +234,17 @@
 	}
 }
 
+// add lists a new engine to all instances at the same moment.
+func (f *simulation) add(n, slots int, zone string) *simEngine {
+	c := engine(n, slots)
+	c.Endpoint.Zone = zone
+	f.engines[c.EndpointID] = &simEngine{id: c.EndpointID, zone: zone, slots: slots}
+	for _, i := range f.instances {
+		f.step(i, DirectoryRead{Update: directory.Update{Asked: int64(f.now), Batch: directory.Batch{Changes: []directory.Change{c}, Revision: 3}}})
+	}
+	return f.engines[c.EndpointID]
+}
+
 // engineWait returns the time that a share of the dispatched requests waited at
 // an engine at most.
 func (f *simulation) engineWait(share float64) time.Duration {
@@ -282,3 +295,36 @@
 		must.Less(t, route("r", 0).Target, f.engineWait(0.99))
 	}
 }
+
+// Load pattern: endpoints crashed, requests wait at every instance, and one
+// endpoint is back. It must not get at once what all of them hold: plain
+// services reset connections then, and what was sent may have run.
+func TestEndpointThatReturnsIsNotRushed(t *testing.T) {
+	for name, size := range map[string]struct {
+		instances, engines, slots int
+		work                      time.Duration
+	}{
+		"engines of a small system":      {6, 18, 10, simService},
+		"engines of a large system":      {78, 112, 5, simService},
+		"plain service, large system":    {78, 7, 6, 60 * time.Millisecond},
+		"plain service, 30 instances":    {30, 5, 6, 60 * time.Millisecond},
+		"one endpoint left in each zone": {84, 4, 6, 15 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newSimulation(size.instances, 4, size.engines, size.slots)
+			f.work = size.work
+			f.pass(3 * time.Second)
+			f.load(4*float64(size.engines*size.slots)/size.work.Seconds(), 400*time.Millisecond)
+			e := f.add(size.engines, size.slots, "0")
+			most := 0
+			for range 100 {
+				f.pass(5 * time.Millisecond)
+				most = max(most, e.running+len(e.waiting))
+			}
+			t.Logf("at most %d requests at %d slots", most, size.slots)
+			must.Positive(t, most)
+			wait := size.work * time.Duration(most-size.slots) / time.Duration(size.slots)
+			must.LessEq(t, route("r", 0).Target, wait, must.Sprint("the last one sent begins behind the objective"))
+		})
+	}
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -60,7 +60,9 @@
 	// this one; endpointsChanged says that there are other endpoints since.
 	reached          []candidate
 	endpointsChanged bool
-	plan             directory.Plan
+	// fresh holds the endpoints that were first listed by the read at hand.
+	fresh []*endpoint
+	plan  directory.Plan
 	// changedLoads holds endpoints of which others may have to be told.
 	changedLoads    []*endpoint
 	noticesRepeated Instant
