balsamd: a hang-up during the start no longer ends the process

Cause: SIGHUP was handled only once the listeners stood; before, and in the callers' mode always, its default action ended the process.

--- a/cmd/balsamd/main.go
+++ b/cmd/balsamd/main.go
@@ -25,6 +25,9 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// A signal that comes before its handler would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	path := flag.String("settings", "", "`file` with the instance's settings (TOML)")
 	level := flag.String("log-level", "info", "least `level` that is logged: debug, info, warn or error")
 	routed := flag.Bool("routed", false, "serve routed traffic as the platform's configuration declares it")
@@ -34,7 +37,7 @@
 		return exitSettings
 	}
 	if *routed {
-		return runRouted(*path, *level)
+		return runRouted(*path, *level, hangups)
 	}
 	set, err := settings.Load(*path)
 	if err != nil {
@@ -50,6 +53,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	go func() {
+		for range hangups {
+			log.Warn("settings_not_reloaded", "reason", "settings hold until the next start")
+		}
+	}()
 	d, err := newDaemon(set, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "balsamd:", err)
@@ -63,7 +71,7 @@
 }
 
 // runRouted serves routed traffic until SIGTERM.
-func runRouted(path, level string) int {
+func runRouted(path, level string, hangups <-chan os.Signal) int {
 	set, err := settings.LoadRouted(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "balsamd:", err)
@@ -77,7 +85,7 @@
 	stdlog.SetOutput(io.Discard)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := newRoutedDaemon(path, set, log).run(ctx); err != nil {
+	if err := newRoutedDaemon(path, set, log, hangups).run(ctx); err != nil {
 		log.Error("failed", "error", err.Error())
 		return exitFailed
 	}
--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -5,10 +5,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/boottime"
@@ -69,13 +67,15 @@
 	watcher  *directory.Watcher
 	replica  *directory.Replica
 	plan     atomic.Pointer[directory.Plan]
+	// hangups tells that the settings file may have changed.
+	hangups <-chan os.Signal
 }
 
 func schedulerNow() scheduler.Instant { return scheduler.Instant(boottime.Now()) }
 
-func newRoutedDaemon(path string, set settings.Routed, log *logline.Logger) *routedDaemon {
+func newRoutedDaemon(path string, set settings.Routed, log *logline.Logger, hangups <-chan os.Signal) *routedDaemon {
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.Limits.MemoryMB<<20)))
-	d := &routedDaemon{path: path, set: set, log: log, replica: directory.NewReplica()}
+	d := &routedDaemon{path: path, set: set, log: log, hangups: hangups, replica: directory.NewReplica()}
 	d.plan.Store(new(directory.Plan))
 	incarnation := ticket.NewIncarnation()
 	d.loop = gateway.NewLoop(scheduler.New(scheduler.Config{
@@ -268,9 +268,6 @@
 // watchSettings takes over changed seeds, on SIGHUP or when the file is found
 // changed. Other settings hold until the next start.
 func (d *routedDaemon) watchSettings(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	poll := time.NewTicker(settingsPoll)
 	defer poll.Stop()
 	changed := modified(d.path)
@@ -278,7 +275,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-d.hangups:
 		case <-poll.C:
 			if now := modified(d.path); now.Equal(changed) {
 				continue
--- a/e2e/instance_test.go
+++ b/e2e/instance_test.go
@@ -88,8 +88,10 @@
 	}
 	cmd := exec.Command(path, "-settings", in.settings, "-log-level", "info")
 	cmd.Env = append(os.Environ(), "BALSAM_GUARDS_OFF="+in.site.cfg.guardsOff)
-	// Also where the test is ended from outside, no process is left.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// Also where the test is ended from outside, no process is left. In a group
+	// of its own a process that is paused is not hung up by the kernel when the
+	// shell exits that the test was started from.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	out, write, err := os.Pipe()
 	must.NoError(in.site.t, err)
 	cmd.Stdout, cmd.Stderr = write, write
