Scheduler: a key is looked up again in a configuration that came meanwhile

An instance whose belief is stale still looks keys up in its old configuration, and leaves the refusal to the scheduler; the answer that brings the new configuration also ends the stale belief, so requests that were looked up before and are scheduled after it were admitted. Second cause, found while reading: a fresh instance counted the age of what it had read from another from its own start, not from the date of the answer. Tests first: TestKeysAreLookedUpAgainInANewerConfiguration, TestOldNewsAreOldToAFreshInstance. Ruled out: dates of answers passed on (each hop only makes them older), the request's own wait (7 ms from caller to endpoint).

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -297,6 +297,7 @@
 		Name:           x.head.ID,
 		Route:          x.route,
 		Organisation:   x.org,
+		Key:            x.head.Key,
 		Service:        x.route.Pick(h.draw()),
 		Version:        table.Version(),
 		Tokens:         x.head.PromptTokens + x.head.OutputTokens,
--- a/internal/scheduler/belief.go
+++ b/internal/scheduler/belief.go
@@ -33,7 +33,12 @@
 
 // configAge is the time since the configuration was known to be the newest;
 // since the start, if it never was.
-func (s *State) configAge() time.Duration { return s.now.Sub(max(s.belief.confirmed, s.started)) }
+func (s *State) configAge() time.Duration {
+	if s.belief.confirmed == never {
+		return s.now.Sub(s.started)
+	}
+	return s.now.Sub(s.belief.confirmed)
+}
 
 // beliefStale reports whether a key may have been withdrawn longer ago than
 // the bound allows.
--- a/internal/scheduler/belief_test.go
+++ b/internal/scheduler/belief_test.go
@@ -80,3 +80,38 @@
 	must.True(t, i.reports[0].Report.Leaving)
 	must.True(t, i.running(i.arrive(route("r", 0), nil)))
 }
+
+// Load pattern: an instance was cut off while keys were withdrawn and hears of
+// it. Requests whose keys it has looked up a moment before are still on their
+// way to the scheduler.
+func TestKeysAreLookedUpAgainInANewerConfiguration(t *testing.T) {
+	i := serving(t, 1, 50)
+	i.passAlone(10 * time.Second)
+	must.Eq(t, ConfigStale, i.refusal(i.arrive(route("r", 0), keyed)).Reason)
+	kept := routing.Organisation{Name: "org", Keys: []string{"kept"}, Priority: 7}
+	i.configure(routing.Config{Version: 2, Organisations: []routing.Organisation{kept}})
+
+	resolvedBefore := func(key string) RequestID {
+		return i.arrive(route("r", 0), func(q *Request) { q.Organisation, q.Key, q.Version = org, key, 1 })
+	}
+	withdrawn := i.refusal(resolvedBefore("withdrawn"))
+	must.Eq(t, ConfigStale, withdrawn.Reason)
+	must.True(t, withdrawn.NotRun)
+	must.Positive(t, withdrawn.RetryAfter)
+	id := resolvedBefore("kept")
+	must.True(t, i.running(id))
+	must.Eq(t, 7, i.s.requests[id].rank.organisation)
+}
+
+// Load pattern: an instance starts while the platform is out of reach, and reads
+// from another one what that had read long ago.
+func TestOldNewsAreOldToAFreshInstance(t *testing.T) {
+	i := newInstance(t, testConfig())
+	i.step(DirectoryRead{Update: directory.Update{
+		Asked: int64(i.now.Add(-4 * time.Second)), From: "10.0.0.2:1", Whole: true,
+		Batch: directory.Batch{Changes: append(engines(1, 50), directory.Change{Config: &routing.Config{Version: 1}}), Revision: 1},
+	}})
+	must.False(t, i.ready)
+	must.Eq(t, ConfigStale, i.refusal(i.arrive(route("r", 0), keyed)).Reason)
+	must.True(t, i.running(i.arrive(route("r", 0), nil)))
+}
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -17,8 +17,10 @@
 	// Name is the caller's own identifier of the request.
 	Name  string
 	Route *routing.Route
-	// Organisation is nil for requests of public routes.
+	// Organisation is nil for requests of public routes. Key is the one that it
+	// was found by.
 	Organisation *routing.Organisation
+	Key          string
 	// Service is the choice of the route's split.
 	Service string
 	// Version is the configuration's by which the route was found.
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -134,6 +134,9 @@
 		ID: i.next, Name: fmt.Sprint(i.next), Route: r, Service: service, Fingerprint: uint64(i.next),
 		CallerDeadline: i.now.Add(5 * time.Second), Deadline: i.now.Add(5 * time.Second),
 	}
+	if i.s.table != nil {
+		q.Version = i.s.table.Version()
+	}
 	if change != nil {
 		change(&q)
 	}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -50,16 +50,16 @@
 func (s *State) arrived(q Request) {
 	r := &request{Request: q, arrived: s.now, queued: s.now}
 	s.count(CounterArrivals, q.Service)
-	r.rank.route = q.Route.Priority
-	if q.Organisation != nil {
-		r.rank.organisation = q.Organisation.Priority
-	}
 	p := s.pool(q.Service)
 	p.budget.request(s.now)
 	if reason, retry := s.admit(r, p); reason != "" {
 		s.refuse(r, reason, retry)
 		return
 	}
+	r.rank.route = q.Route.Priority
+	if r.Organisation != nil {
+		r.rank.organisation = r.Organisation.Priority
+	}
 	s.charge(r)
 	s.requests[r.ID] = r
 	p.enqueue(r)
@@ -69,7 +69,7 @@
 // admit returns why a new request can't be served, or nothing.
 func (s *State) admit(r *request, p *pool) (Reason, time.Duration) {
 	switch {
-	case r.Organisation != nil && s.beliefStale():
+	case r.Organisation != nil && (s.beliefStale() || !s.keyHolds(r)):
 		return ConfigStale, s.retryAfter(r)
 	case s.crashSuspect(r.Fingerprint):
 		return CrashSuspect, 0
@@ -82,6 +82,21 @@
 	return "", 0
 }
 
+// keyHolds looks a request's key up again whose organisation was found in an
+// earlier configuration: the one that is in force now may have come together
+// with the news that ended a stale belief.
+func (s *State) keyHolds(r *request) bool {
+	if s.table == nil || r.Version >= s.table.Version() {
+		return true
+	}
+	now := s.table.Organisation(r.Key)
+	if now == nil || now.Name != r.Organisation.Name {
+		return false
+	}
+	r.Organisation = now
+	return true
+}
+
 // hasEndpoint reports whether the pool has any endpoint that may take work,
 // now or soon.
 func (s *State) hasEndpoint(p *pool) bool {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -210,7 +210,7 @@
 		n := int(math.Sqrt(f.rand.Float64()) * float64(len(f.instances)))
 		f.nextID++
 		f.step(f.instances[n], Arrived{Request: Request{
-			ID: f.nextID, Name: "r", Route: r, Service: service, Fingerprint: uint64(f.nextID), PromptTokens: 2000, Tokens: 2100,
+			ID: f.nextID, Name: "r", Version: 1, Route: r, Service: service, Fingerprint: uint64(f.nextID), PromptTokens: 2000, Tokens: 2100,
 			Organisation:   &f.instances[n].s.table.Organisations()[f.nextID%16],
 			CallerDeadline: f.now.Add(5 * time.Second), Deadline: f.now.Add(5 * time.Second),
 		}})
