--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -10,7 +10,7 @@
 
 const (
 	// sweepInterval is the time between two looks at callers' connections, and
-	// with it the precision of their limits.
+	// with it the precision of their limits, which are of several seconds.
 	sweepInterval = time.Second
 	// lateSweep is the delay of a sweep from which on the process counts as
 	// having been suspended. What callers sent meanwhile is read first.
@@ -85,7 +85,7 @@
 		if limit > 0 && now.Sub(w.since) > limit {
 			delete(c.waiting, conn)
 			c.handler.cfg.Counters.Add("routed_connections_closed_total", w.state.String(), 1)
-			// The server notices the close at its next read.
+			// A failure means that the connection is closed already.
 			_ = conn.Close()
 		}
 	}
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -4,12 +4,15 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/cespare/xxhash/v2"
 )
 
 const (
+	// homesInterval is the time between two divisions of endpoints.
+	homesInterval = 500 * time.Millisecond
 	// largeMembers is the number of other instances from which on each works
 	// with a few endpoints. Up to it, all can afford to tell each other of all.
 	largeMembers = membersAtInterval
@@ -20,7 +23,8 @@
 	meanHomes  = 5
 	meanGuests = 2
 	// maxSharers is the number of instances up to which those that share an
-	// endpoint tell each other of every change.
+	// endpoint tell each other of every change. It lies just above homes and
+	// guests together; a request then costs at most sixteen notices.
 	maxSharers = 8
 )
 
@@ -87,7 +91,7 @@
 // prefers the ones of which it is the home.
 func (s *State) shareAll(neighbours []candidate) {
 	for _, e := range s.endpoints {
-		e.home = e.Zone == s.cfg.Zone && first(e.ID, neighbours, 1)[0] == s.cfg.Address
+		e.home = e.Zone == s.cfg.Zone && highest(e.ID, neighbours, 1)[0] == s.cfg.Address
 		e.away, e.sharers = false, nil
 	}
 }
@@ -104,8 +108,8 @@
 	for _, e := range s.endpoints {
 		near, far := divideByZone(s.reached, e.Zone)
 		here := inZone[group{e.Service, e.Zone}]
-		homes := first(e.ID, near, quotient(meanHomes*len(near), here))
-		guests := first(e.ID, far, quotient(meanGuests*len(far), all[e.Service]-here))
+		homes := highest(e.ID, near, quotient(meanHomes*len(near), here))
+		guests := highest(e.ID, far, quotient(meanGuests*len(far), all[e.Service]-here))
 		sharers := append(homes, guests...)
 		e.home = slices.Contains(homes, s.cfg.Address)
 		e.away = !slices.Contains(sharers, s.cfg.Address)
@@ -141,9 +145,9 @@
 	return out
 }
 
-// first returns the addresses of the n candidates with the highest hashes for a
+// highest returns the addresses of the n candidates with the highest hashes for a
 // key.
-func first(key string, candidates []candidate, n int) []string {
+func highest(key string, candidates []candidate, n int) []string {
 	if n >= len(candidates) {
 		return addressesOf(candidates)
 	}
--- a/internal/scheduler/notice.go
+++ b/internal/scheduler/load.go
@@ -1,14 +1,18 @@
 package scheduler
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
-// Where many instances share a zone, full reports are too rare for those that
-// prefer the same endpoints: each would fill the slot that another has just
+// In a large system whole reports are too rare for instances that work with the
+// same endpoints: each would fill the slot that another has just
 // taken. Those few tell each other of every change at once, in a report that
 // holds nothing else.
 
 // noticeRepeat is the time after which loads are told again, as a notice may be
-// lost. The whole reports to instances of other zones hold none.
+// lost: about as often as an instance of another zone is sent a whole report,
+// which holds no loads.
 const noticeRepeat = time.Second
 
 // repeatNotices tells the sharers of the endpoints that are in use, or were at
@@ -70,3 +74,34 @@
 		e.setOthers(x.incarnation, l)
 	}
 }
+
+func (s *State) loadReport() []EndpointLoad {
+	var out []EndpointLoad
+	for _, e := range s.endpoints {
+		if e.mine > 0 {
+			out = append(out, EndpointLoad{Endpoint: e.ID, Running: e.mine, Prefill: e.prefill})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Endpoint < out[j].Endpoint })
+	return out
+}
+
+// learnLoads replaces what a member has told of its requests at endpoints.
+func (s *State) learnLoads(x *member, loads []EndpointLoad) {
+	s.dropLoads(x)
+	for _, l := range loads {
+		if e := s.endpoints[l.Endpoint]; e != nil {
+			e.setOthers(x.incarnation, l)
+			x.loads = append(x.loads, l.Endpoint)
+		}
+	}
+}
+
+func (s *State) dropLoads(x *member) {
+	for _, id := range x.loads {
+		if e := s.endpoints[id]; e != nil {
+			e.setOthers(x.incarnation, EndpointLoad{})
+		}
+	}
+	x.loads = x.loads[:0]
+}
--- /dev/null
+++ b/internal/scheduler/report.go
@@ -0,0 +1,131 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// probeInterval is the time between reports to addresses that don't
+	// answer.
+	probeInterval = 500 * time.Millisecond
+	// reportedMembers bounds the addresses in a report to the own zone and to
+	// young members: a few hops then reach every instance of a hundred.
+	// strangerMembers bounds those in other reports, which only have to name an
+	// instance again that was missed.
+	reportedMembers = 12
+	strangerMembers = 3
+)
+
+// gossip sends the reports that are due.
+func (s *State) gossip() {
+	m := &s.members
+	s.forgetMembers()
+	m.countNeighbours()
+	m.updateWeights(s.now)
+	var to []string
+	for _, a := range m.addresses() {
+		x := m.byAddress[a]
+		if m.inReach(x, s.now) && s.now.Sub(x.reported) >= m.interval(x) {
+			x.reported = s.now
+			to = append(to, a)
+		}
+	}
+	to = append(to, s.probes()...)
+	s.sendReports(to)
+	s.assignHomes()
+}
+
+// probes returns the addresses, due for a probe, of seeds that were not heard
+// and of members that fell silent.
+func (s *State) probes() []string {
+	m := &s.members
+	var out []string
+	for _, a := range append(slices.Clone(m.seeds), m.addresses()...) {
+		if x := m.byAddress[a]; a == m.self || x != nil && m.inReach(x, s.now) {
+			continue
+		}
+		interval := probeInterval
+		if !m.joined {
+			interval = reportInterval
+		}
+		if last, ok := m.probed[a]; ok && s.now.Sub(last) < interval {
+			continue
+		}
+		m.probed[a] = s.now
+		out = append(out, a)
+	}
+	return out
+}
+
+// sendReports sends what the addressees need. In a large system instances of
+// other zones get no loads: the few that share endpoints have notices.
+func (s *State) sendReports(to []string) {
+	if len(to) == 0 {
+		return
+	}
+	s.members.sequence++
+	var near, young, far []string
+	for _, a := range to {
+		x := s.members.byAddress[a]
+		switch {
+		case x == nil || x.zone == s.cfg.Zone || !s.largeSystem():
+			near = append(near, a)
+		case s.now.Sub(x.joined) <= youth:
+			young = append(young, a)
+		default:
+			far = append(far, a)
+		}
+	}
+	report := s.report()
+	if len(near) > 0 {
+		s.emit(SendReport{To: near, Report: report})
+	}
+	report.Loads, report.WithoutLoads = nil, true
+	if len(young) > 0 {
+		s.emit(SendReport{To: young, Report: report})
+	}
+	report.Members = report.Members[:min(strangerMembers, len(report.Members))]
+	if len(far) > 0 {
+		s.emit(SendReport{To: far, Report: report})
+	}
+}
+
+// report returns the whole report of now.
+func (s *State) report() Report {
+	m := &s.members
+	report := Report{
+		Incarnation: s.cfg.Incarnation,
+		Sequence:    m.sequence,
+		Address:     s.cfg.Address,
+		Zone:        s.cfg.Zone,
+		Age:         s.now.Sub(s.started),
+		Leaving:     s.leaving,
+		Demand:      m.demand.perSecond,
+		Known:       m.known(s.now),
+		Members:     s.someMembers(),
+		Usage:       s.usageReport(),
+		Loads:       s.loadReport(),
+		Crashes:     s.crashReport(),
+	}
+	if s.table != nil {
+		report.Version = s.table.Version()
+	}
+	return report
+}
+
+// someMembers returns addresses of members in reach, others at each call.
+func (s *State) someMembers() []string {
+	m := &s.members
+	var live []string
+	for _, a := range m.addresses() {
+		if m.inReach(m.byAddress[a], s.now) {
+			live = append(live, a)
+		}
+	}
+	if len(live) <= reportedMembers {
+		return live
+	}
+	m.next = (m.next + reportedMembers) % len(live)
+	return slices.Concat(live[m.next:], live[:m.next])[:reportedMembers]
+}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -26,7 +26,6 @@
 	events    simEvents
 	sequence  int
 	nextID    RequestID
-	arrivedAt map[RequestID]Instant
 	// engineWaits are the times that dispatched requests waited at an engine.
 	engineWaits []time.Duration
 	refused     int
@@ -88,7 +87,7 @@
 func newSimulation(instances, zones, engines, slots int) *simulation {
 	f := &simulation{
 		now: Instant(time.Hour), rand: rand.New(rand.NewPCG(1, 2)), byAddress: map[string]*simInstance{},
-		work: simService, engines: map[string]*simEngine{}, arrivedAt: map[RequestID]Instant{},
+		work: simService, engines: map[string]*simEngine{},
 	}
 	var entries []directory.Change
 	for n := range engines {
