--- /dev/null
+++ b/internal/scheduler/bench_test.go
@@ -0,0 +1,37 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/balsamstair/balsamstair/internal/routing"
+)
+
+// BenchmarkReportReceived measures what a report costs its receiver, by the
+// number of members: sixteen organisations, five endpoints in use.
+func BenchmarkReportReceived(b *testing.B) {
+	for _, members := range []int{6, 84, 360} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			now := Instant(time.Hour)
+			s := New(testConfig(), now)
+			config := routing.Config{Version: 1, Organisations: simOrganisations()}
+			s.Step(now, DirectoryRead{Update: directory.Update{Asked: int64(now), Whole: true, Batch: directory.Batch{
+				Changes: append([]directory.Change{{Config: &config}}, engines(90, 6)...), Revision: 1}}})
+			r := Report{Zone: "a"}
+			for _, o := range config.Organisations {
+				r.Usage = append(r.Usage, Usage{Organisation: o.Name})
+			}
+			for n := range 5 {
+				r.Loads = append(r.Loads, EndpointLoad{Endpoint: fmt.Sprintf("e%d", n), Running: 1})
+			}
+			for n := 0; b.Loop(); n++ {
+				k := n % members
+				r.Incarnation, r.Sequence = uint64(k+2), uint64(n/members+1)
+				r.Address = fmt.Sprintf("10.2.%d.%d:1", k/250, k%250)
+				s.Step(now, PeerReported{Report: r})
+			}
+		})
+	}
+}
