Log the fingerprint and the count of broken attempts

Cause: the logs can't tell the hypotheses of the incident apart: no line says which requests count as equal, which broken attempts an instance counts for them, or from whom it heard of a count. Change: the fingerprint on the lines about attempts and ends of requests, a line for each counted and each reported attempt. Result: tests of scheduler and gateway pass; no decision changed.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,7 +27,9 @@
 	org     *routing.Organisation
 	version int64
 	body    []byte
-	started time.Time
+	// fingerprint is equal for requests with the same caller, path and body.
+	fingerprint uint64
+	started     time.Time
 	// ctx is done when the caller disconnects or at the deadline.
 	ctx      context.Context
 	deadline time.Time
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -274,6 +274,7 @@
 func (x *exchange) schedule(table *routing.Table) {
 	h := x.h
 	x.id = scheduler.RequestID(h.nextID.Add(1))
+	x.fingerprint = x.computeFingerprint()
 	callerTimeout := x.info.Timeout
 	if callerTimeout <= 0 {
 		callerTimeout = x.route.Timeout
@@ -306,7 +307,7 @@
 		Version:        table.Version(),
 		Tokens:         x.info.PromptTokens + x.info.OutputTokens,
 		PromptTokens:   x.info.PromptTokens,
-		Fingerprint:    x.fingerprint(),
+		Fingerprint:    x.fingerprint,
 		CallerDeadline: now.Add(callerTimeout),
 		Deadline:       now.Add(remaining),
 	}})
@@ -321,7 +322,7 @@
 	return (h.splitDraws.Add(1) * multiplier) >> 1
 }
 
-func (x *exchange) fingerprint() uint64 {
+func (x *exchange) computeFingerprint() uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(x.info.Key)
 	_, _ = d.WriteString("\n" + x.r.Method + " " + x.r.Host + x.r.URL.RequestURI() + "\n")
@@ -383,7 +384,7 @@
 		"attempts", x.attempts, "endpoint", x.endpoint, "outcome", outcome,
 		"queued_ms", x.queueTime.Milliseconds(), "first_event_ms", firstEvent.Milliseconds(),
 		"longest_pause_ms", x.events.longestGap.Milliseconds(), "prompt_tokens", x.info.PromptTokens,
-		"took_ms", total.Milliseconds(), "events", x.events.lastID}, x.decisionFields...)
+		"took_ms", total.Milliseconds(), "events", x.events.lastID, "fingerprint", scheduler.FormatFingerprint(x.fingerprint)}, x.decisionFields...)
 	h.cfg.Log.Info("request_ended", fields...)
 }
 
@@ -392,6 +393,6 @@
 	h.cfg.Counters.Add("routed_attempt_failures_total", step, 1)
 	if h.logLimiter.Allow() {
 		h.cfg.Log.Info("attempt_failed", "request", x.info.ID, "endpoint", x.endpoint, "attempt", x.attempts,
-			"step", step, "events", x.events.lastID, "error", err.Error())
+			"step", step, "events", x.events.lastID, "fingerprint", scheduler.FormatFingerprint(x.fingerprint), "error", err.Error())
 	}
 }
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 const (
 	// crashThreshold is the number of broken attempts from which a request counts
@@ -32,6 +35,8 @@
 	}
 	c.count++
 	c.last = s.now
+	s.log("broken_attempt_counted", "request", r.Name, "fingerprint", FormatFingerprint(r.Fingerprint),
+		"endpoint", r.tried[len(r.tried)-1], "count", c.count)
 	if c.count == crashThreshold {
 		s.log("crash_suspect", "request", r.Name, "broken_attempts", c.count)
 	}
@@ -62,7 +67,7 @@
 }
 
 // mergeCrashes merges the counts reported by another instance.
-func (s *State) mergeCrashes(crashes []Crash) {
+func (s *State) mergeCrashes(crashes []Crash, from string) {
 	for _, reported := range crashes {
 		c := s.crashes[reported.Fingerprint]
 		if c == nil {
@@ -72,6 +77,12 @@
 			c = &crashCount{last: s.now}
 			s.crashes[reported.Fingerprint] = c
 		}
-		c.count = max(c.count, reported.Count)
+		if reported.Count > c.count {
+			c.count = reported.Count
+			s.log("broken_attempts_reported", "fingerprint", FormatFingerprint(reported.Fingerprint), "from", from, "count", c.count)
+		}
 	}
 }
+
+// FormatFingerprint returns the form of a request's fingerprint in the log.
+func FormatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -219,7 +219,7 @@
 	if !r.WithoutLoads {
 		s.replaceLoads(x, r.Loads)
 	}
-	s.mergeCrashes(r.Crashes)
+	s.mergeCrashes(r.Crashes, r.Address)
 }
 
 func (s *State) memberJoined(previous *member, r Report) *member {
