Tests for crashing requests that fail on this code

Result: at 84 instances and one attempt a request 17 endpoints ended, 14 of the sends came after the third end; a queued request is sent after a report of three crashes.

--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -22,6 +22,7 @@
 	rand      *rand.Rand
 	instances []*simInstance
 	byAddress map[string]*simInstance
+	seeds     []string
 	engines   map[string]*simEngine
 	events    simEvents
 	sequence  int
@@ -33,26 +34,38 @@
 	crossZone   int
 	// serviceTime is the mean time for which a request holds a slot.
 	serviceTime time.Duration
+	// crashes is the part of the simulation in which requests crash engines.
+	crashes *simCrashes
 }
 
 type simInstance struct {
-	s       *State
-	address string
-	zone    string
+	s           *State
+	address     string
+	zone        string
+	incarnation uint64
+	// down is set while the process does not run. While it is paused, its events
+	// are held.
+	down, paused bool
+	held         []Event
 }
 
 type simEngine struct {
 	id      string
 	zone    string
+	address string
 	slots   int
-	running int
+	// down is set once the engine has ended.
+	down    bool
+	running []simJob
 	waiting []simJob
 }
 
+// simJob is a request at an engine, sent by one incarnation of an instance.
 type simJob struct {
-	at   *simInstance
-	id   RequestID
-	sent Instant
+	at          *simInstance
+	incarnation uint64
+	id          RequestID
+	sent        Instant
 }
 
 type simEvent struct {
@@ -95,7 +108,7 @@
 		c.Endpoint.Zone = fmt.Sprint(n % zones)
 		c.Endpoint.Address = fmt.Sprintf("10.1.%d.%d:1", n/250, n%250)
 		entries = append(entries, c)
-		f.engines[c.EndpointID] = &simEngine{id: c.EndpointID, zone: c.Endpoint.Zone, slots: slots}
+		f.engines[c.EndpointID] = &simEngine{id: c.EndpointID, zone: c.Endpoint.Zone, address: c.Endpoint.Address, slots: slots}
 	}
 	var seeds []string
 	for n := range instances {
@@ -105,20 +118,27 @@
 		}
 		f.instances = append(f.instances, &simInstance{address: address, zone: fmt.Sprint(n % zones)})
 	}
+	f.seeds = seeds
 	for n, i := range f.instances {
-		cfg := testConfig()
-		cfg.Address, cfg.Zone, cfg.Seeds = i.address, i.zone, seeds
-		cfg.Incarnation, cfg.RandomSeed = uint64(n+1), uint64(n+1)
-		i.s = New(cfg, f.now)
 		f.byAddress[i.address] = i
-		c := routing.Config{Version: 1, Organisations: simOrganisations()}
-		f.step(i, DirectoryRead{Update: directory.Update{ReadAt: int64(f.now), Full: true, Batch: directory.Batch{
-			Changes: append([]directory.Change{{Config: &c}}, entries...), Revision: 1}}})
+		f.start(i, uint64(n+1), entries)
 		f.after(time.Duration(f.rand.Int64N(int64(TickInterval))), func() { f.tick(i) })
 	}
 	return f
 }
 
+// start starts an incarnation of an instance, which then reads the directory.
+func (f *simulation) start(i *simInstance, incarnation uint64, entries []directory.Change) {
+	cfg := testConfig()
+	cfg.Address, cfg.Zone, cfg.Seeds = i.address, i.zone, f.seeds
+	cfg.Incarnation, cfg.RandomSeed = incarnation, incarnation
+	i.s = New(cfg, f.now)
+	i.incarnation, i.down, i.held = incarnation, false, nil
+	c := routing.Config{Version: 1, Organisations: simOrganisations()}
+	f.step(i, DirectoryRead{Update: directory.Update{ReadAt: int64(f.now), Full: true, Batch: directory.Batch{
+		Changes: append([]directory.Change{{Config: &c}}, entries...), Revision: 1}}})
+}
+
 func simOrganisations() []routing.Organisation {
 	var out []routing.Organisation
 	for n := range 16 {
@@ -134,8 +154,10 @@
 }
 
 func (f *simulation) tick(i *simInstance) {
-	f.step(i, DirectoryRead{Update: directory.Update{ReadAt: int64(f.now)}})
-	f.step(i, Tick{})
+	if !i.paused {
+		f.step(i, DirectoryRead{Update: directory.Update{ReadAt: int64(f.now)}})
+		f.step(i, Tick{})
+	}
 	f.after(TickInterval, func() { f.tick(i) })
 }
 
@@ -151,11 +173,18 @@
 }
 
 func (f *simulation) step(i *simInstance, ev Event) {
+	switch {
+	case i.down:
+		return
+	case i.paused:
+		i.held = append(i.held, ev)
+		return
+	}
 	for _, e := range i.s.Step(f.now, ev) {
 		switch e := e.(type) {
 		case SendReport:
 			for _, to := range e.To {
-				if other := f.byAddress[to]; other != nil {
+				if other := f.byAddress[to]; other != nil && f.connected(i.zone, other.zone) {
 					f.after(simDelay, func() { f.step(other, PeerReported{Report: e.Report}) })
 				}
 			}
@@ -164,29 +193,55 @@
 			if e.Endpoint.Zone != i.zone {
 				f.crossZone++
 			}
-			job := simJob{i, e.ID, f.now}
+			job := simJob{i, i.incarnation, e.ID, f.now}
+			f.crashes.dispatched(f, job)
 			f.after(simDelay, func() { f.arriveAtEngine(f.engines[e.Endpoint.ID], job) })
 		case Refuse:
 			f.refused++
+			f.crashes.finished(i, e.ID)
+		default:
+			f.crashes.apply(f, i, e)
 		}
 	}
 }
 
+// connected reports whether packets pass between two availability zones.
+func (f *simulation) connected(a, b string) bool {
+	return a == b || f.crashes == nil || f.crashes.isolated != a && f.crashes.isolated != b
+}
+
+// stepJob delivers an event about a job to the incarnation that sent it.
+func (f *simulation) stepJob(job simJob, ev Event) {
+	if job.at.incarnation == job.incarnation {
+		f.step(job.at, ev)
+	}
+}
+
 func (f *simulation) arriveAtEngine(e *simEngine, job simJob) {
-	if e.running >= e.slots {
+	switch {
+	case e.down || !f.connected(e.zone, job.at.zone):
+		f.crashes.unreachable(f, e, job)
+	case len(e.running) >= e.slots:
 		e.waiting = append(e.waiting, job)
-		return
+	default:
+		f.startJob(e, job)
 	}
-	f.startJob(e, job)
 }
 
 func (f *simulation) startJob(e *simEngine, job simJob) {
-	e.running++
+	e.running = append(e.running, job)
 	f.engineWaits = append(f.engineWaits, f.now.Sub(job.sent))
-	f.step(job.at, AnswerStarted{ID: job.id})
+	if f.crashes.crashed(f, e, job) {
+		return
+	}
+	f.stepJob(job, AnswerStarted{ID: job.id})
 	f.after(time.Duration(f.rand.ExpFloat64()*float64(f.serviceTime)), func() {
-		e.running--
-		f.step(job.at, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: Completed, FirstByte: 200 * time.Millisecond}})
+		if e.down {
+			return
+		}
+		e.running = slices.DeleteFunc(e.running, func(other simJob) bool { return other == job })
+		f.crashes.finished(job.at, job.id)
+		f.stepJob(job, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: Completed, FirstByte: 200 * time.Millisecond}})
 		if len(e.waiting) > 0 {
 			next := e.waiting[0]
 			e.waiting = e.waiting[1:]
@@ -238,7 +293,7 @@
 func (f *simulation) addEngine(n, slots int, zone string) *simEngine {
 	c := engine(n, slots)
 	c.Endpoint.Zone = zone
-	f.engines[c.EndpointID] = &simEngine{id: c.EndpointID, zone: zone, slots: slots}
+	f.engines[c.EndpointID] = &simEngine{id: c.EndpointID, zone: zone, address: c.Endpoint.Address, slots: slots}
 	for _, i := range f.instances {
 		f.step(i, DirectoryRead{Update: directory.Update{ReadAt: int64(f.now), Batch: directory.Batch{Changes: []directory.Change{c}, Revision: 3}}})
 	}
@@ -320,7 +375,7 @@
 			maxRequests := 0
 			for range 100 {
 				f.advance(5 * time.Millisecond)
-				maxRequests = max(maxRequests, e.running+len(e.waiting))
+				maxRequests = max(maxRequests, len(e.running)+len(e.waiting))
 			}
 			t.Logf("at most %d requests at %d slots", maxRequests, size.slots)
 			must.Positive(t, maxRequests)
