Crashing requests: evidence is a set of ended endpoints

What callers saw: a request under which three endpoints had ended was sent to more endpoints, and each of them ended.

Cause: each instance counted broken attempts and took the larger of its own and the reported count; a count of one was never reported. Where each instance sees one crash, no count reaches three. A report held 16 counts in the order of a map, so others could miss one, and a count died with its instance.

Change: package crash holds, for each request, the incarnations of the endpoints that ended while they ran it. Instances merge them by union. An attempt without an answer counts only once its endpoint is known to have ended: its address refuses a new connection, another process has its address or ID, or the platform removed its entry. An answer of that process to a later request shows that it had not. A completed run outweighs the ends before it. An instance sends what it observes to all others within a tick, and complete reports repeat four records in turn. A retry is refused while an attempt that would be the third end is not resolved.

--- /dev/null
+++ b/internal/crash/table_test.go
@@ -0,0 +1,162 @@
+package crash
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func ends(t *Table, f uint64) map[Incarnation]bool {
+	out := map[Incarnation]bool{}
+	for _, e := range t.Ends(f) {
+		out[e.Endpoint] = true
+	}
+	return out
+}
+
+// Guards against counts that depend on which reports were lost, repeated or
+// reordered: three instances that saw one end each must all reach the threshold.
+func TestMergeIsUnion(t *testing.T) {
+	var tables []*Table
+	for n := range 3 {
+		table := NewTable()
+		must.True(t, table.AddEnd(7, Incarnation(n), time.Second))
+		must.False(t, table.AddEnd(7, Incarnation(n), 2*time.Second))
+		tables = append(tables, table)
+	}
+	for range 2 {
+		for _, to := range tables {
+			for _, from := range tables {
+				for _, r := range from.Next(10) {
+					to.Merge(r, 3*time.Second)
+				}
+			}
+		}
+	}
+	for _, table := range tables {
+		must.True(t, table.Suspect(7))
+		must.Len(t, 3, table.Ends(7))
+		must.Eq(t, 1, table.Suspects())
+	}
+}
+
+// Guards against a healthy request that stays refused although it completed
+// after the endpoints had ended.
+func TestCompletionOutweighsEarlierEnds(t *testing.T) {
+	table, other := NewTable(), NewTable()
+	for n := range Threshold {
+		table.AddEnd(7, Incarnation(n), time.Second)
+		other.AddEnd(7, Incarnation(n), time.Second)
+	}
+	must.Len(t, Threshold, table.AddCompletion(7, 2*time.Second))
+	must.False(t, table.Suspect(7))
+	for _, r := range other.Next(1) {
+		must.SliceEmpty(t, table.Merge(r, 3*time.Second))
+	}
+	must.True(t, other.Suspect(7))
+	for _, r := range table.Next(1) {
+		other.Merge(r, 3*time.Second)
+	}
+	must.False(t, other.Suspect(7))
+	must.True(t, table.AddEnd(7, 9, 4*time.Second))
+	must.Len(t, 1, table.Ends(7))
+}
+
+// Guards against ends that are heard of only after the request completed here.
+func TestRecentCompletionOutweighsEndsReportedLater(t *testing.T) {
+	table := NewTable()
+	table.AddCompletion(7, 2*time.Second)
+	for n := range Threshold {
+		table.Merge(Record{Fingerprint: 7, Ends: []End{{Endpoint: Incarnation(n), At: time.Second}}}, 3*time.Second)
+	}
+	must.SliceEmpty(t, table.Ends(7))
+	table.Merge(Record{Fingerprint: 7, Ends: []End{{Endpoint: 1, At: 2500 * time.Millisecond}}}, 3*time.Second)
+	must.Len(t, 1, table.Ends(7))
+}
+
+// Guards against evidence that is never reported because others fill the report.
+func TestEveryRecordIsReportedInTurn(t *testing.T) {
+	table := NewTable()
+	for f := range uint64(40) {
+		table.AddEnd(f, 1, 0)
+	}
+	seen := map[uint64]int{}
+	for range 10 {
+		for _, r := range table.Next(4) {
+			seen[r.Fingerprint]++
+		}
+	}
+	must.MapLen(t, 40, seen)
+	must.Len(t, 10, table.TakeChanged(10))
+	must.Len(t, 30, table.TakeChanged(100))
+	must.SliceEmpty(t, table.TakeChanged(100))
+}
+
+// Guards against a table that is full of requests with a single end and takes
+// no further evidence, and against one that grows without limit.
+func TestFullTableDropsOldestWithLeastEvidence(t *testing.T) {
+	table := NewTable()
+	for n := range Threshold {
+		table.AddEnd(0, Incarnation(n), 0)
+	}
+	for f := uint64(1); f < maxRequests+10; f++ {
+		must.True(t, table.AddEnd(f, 1, 0))
+	}
+	must.MapLen(t, maxRequests, table.records)
+	must.Len(t, maxRequests, table.order)
+	must.True(t, table.Suspect(0))
+	must.Len(t, 1, table.Ends(maxRequests+9))
+}
+
+func TestEndsExpire(t *testing.T) {
+	table := NewTable()
+	table.AddEnd(7, 1, 0)
+	table.AddEnd(7, 2, time.Minute)
+	table.Expire(Retention)
+	must.Len(t, 1, table.Ends(7))
+	table.Expire(Retention + time.Minute)
+	must.MapEmpty(t, table.records)
+	must.SliceEmpty(t, table.order)
+	must.SliceEmpty(t, table.Next(4))
+	must.SliceEmpty(t, table.Merge(Record{Fingerprint: 7, Ends: []End{{Endpoint: 1, At: 0}}}, Retention))
+}
+
+// Tables that received the same evidence in any order, any number of times, and
+// with different delays agree on the ends that count.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := []*Table{NewTable(), NewTable(), NewTable()}
+		index := rapid.IntRange(0, len(tables)-1)
+		now := Time(time.Hour)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Second
+			to := tables[index.Draw(t, "to")]
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				to.AddEnd(7, Incarnation(rapid.IntRange(0, 5).Draw(t, "endpoint")), now)
+			case 1:
+				to.AddCompletion(7, now)
+			case 2:
+				for _, r := range tables[index.Draw(t, "from")].Next(1) {
+					to.Merge(r, now)
+				}
+			}
+		}
+		for range len(tables) {
+			for _, to := range tables {
+				for _, from := range tables {
+					for _, r := range from.Next(1) {
+						to.Merge(r, now)
+					}
+				}
+			}
+		}
+		for _, other := range tables[1:] {
+			if got, want := ends(other, 7), ends(tables[0], 7); len(got) != len(want) {
+				t.Fatalf("%v and %v", got, want)
+			}
+		}
+	})
+}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,9 @@
 // ErrClosed is returned when a closed Client is used.
 var ErrClosed = errors.New("endpoint client is closed")
 
+// ErrRefused means that nothing listens at the endpoint's address.
+var ErrRefused = errors.New("endpoint refused the connection")
+
 // Config holds the settings of a Client. A zero field means its default.
 type Config struct {
 	// ConnectTimeout limits the time to establish a TCP connection.
@@ -119,12 +123,26 @@
 	}
 }
 
+// Probe opens a new connection to address and keeps it for a later request. The
+// error is the one of Connect.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	conn.Close()
+	return nil
+}
+
 func (c *Client) dial(ctx context.Context, address string) (*Conn, error) {
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return nil, errors.Wrapf(err, "endpoint address %q is not an IP address with a port", address)
 	}
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, wrapCause(ErrRefused, err)
+		}
 		return nil, errors.Wrap(err, "connecting to endpoint")
 	}
 	return &Conn{client: c, pooled: newPooledConn(c, address, raw)}, nil
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -134,6 +134,38 @@
 	must.ErrorContains(t, err, "IP address")
 }
 
+// Guards against a timeout or another failure that is taken for an endpoint that
+// has ended, and against a pooled connection in place of a new one.
+func TestProbeTellsRefusedFromOtherFailures(t *testing.T) {
+	accepted := make(chan struct{}, 2)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			accepted <- struct{}{}
+		}
+	}()
+	client := newClient(t, Config{})
+	for range 2 {
+		must.NoError(t, client.Probe(t.Context(), listener.Addr().String()))
+		<-accepted
+	}
+	must.NoError(t, listener.Close())
+	must.ErrorIs(t, client.Probe(t.Context(), listener.Addr().String()), ErrRefused)
+	_, err = client.dial(t.Context(), listener.Addr().String())
+	must.ErrorIs(t, err, ErrRefused)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	err = client.Probe(ended, listener.Addr().String())
+	must.Error(t, err)
+	must.False(t, errors.Is(err, ErrRefused))
+}
+
 // net/http follows 307 and 308 by sending the body again.
 func TestRedirectsAreNotFollowed(t *testing.T) {
 	for _, status := range []int{301, 302, 303, 307, 308} {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -135,7 +135,7 @@
 			return scheduler.Attempt{Outcome: scheduler.Abandoned}
 		}
 		x.h.logAttemptFailure(x, "connect", err)
-		return scheduler.Attempt{Outcome: scheduler.NotSent}
+		return scheduler.Attempt{Outcome: scheduler.NotSent, Refused: errors.Is(err, endpoint.ErrRefused)}
 	}
 	sent := time.Now()
 	answer, err := conn.Send(x.ctx, x.endpointCall(d))
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -57,6 +57,8 @@
 
 	mu       sync.Mutex
 	received []receivedRequest
+	// listeners are those of the endpoints, by number.
+	listeners []net.Listener
 }
 
 type receivedRequest struct {
@@ -114,6 +116,9 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(s.t, err)
 	s.t.Cleanup(func() { listener.Close() })
+	s.mu.Lock()
+	s.listeners = append(s.listeners, listener)
+	s.mu.Unlock()
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -209,6 +214,17 @@
 	}
 }
 
+// crashEndpoint resets the connection and stops listening, as an endpoint whose
+// process ends.
+func (s *testGateway) crashEndpoint(conn net.Conn, nth int, _ *http.Request) bool {
+	s.mu.Lock()
+	listener := s.listeners[s.received[nth].endpoint]
+	s.mu.Unlock()
+	_ = listener.Close()
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
 // replyInSequence uses the replies in order, one per request, and repeats the
 // last.
 func replyInSequence(replies ...rawReply) rawReply {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -114,6 +114,8 @@
 		h.deliverDecision(e.ID, e)
 	case scheduler.Refuse:
 		h.deliverDecision(e.ID, e)
+	case scheduler.ProbeEndpoint:
+		go h.probe(e)
 	case scheduler.ConfigAdopted:
 		h.table.Store(e.Table)
 	case scheduler.ConfigConfirmed:
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/gossip/gossippb"
 	"github.com/balsamstair/balsamstair/internal/scheduler"
 	"github.com/cockroachdb/errors"
@@ -36,11 +37,33 @@
 		m.Loads = append(m.Loads, &gossippb.EndpointLoad{Endpoint: l.Endpoint, Running: uint32(l.Running), Prefill: uint32(l.Prefill)})
 	}
 	for _, c := range r.Crashes {
-		m.Crashes = append(m.Crashes, &gossippb.Crash{Fingerprint: c.Fingerprint, Count: uint32(c.Count)})
+		m.Crashes = append(m.Crashes, encodeCrash(c))
 	}
 	return proto.Marshal(m)
 }
 
+func encodeCrash(c scheduler.Crash) *gossippb.Crash {
+	m := &gossippb.Crash{Fingerprint: c.Fingerprint}
+	if c.Completed {
+		m.CompletedAgeMs = proto.Uint32(uint32(c.CompletedAge.Milliseconds()))
+	}
+	for _, e := range c.Ends {
+		m.Ends = append(m.Ends, &gossippb.CrashEnd{Endpoint: uint64(e.Endpoint), AgeMs: uint32(e.Age.Milliseconds())})
+	}
+	return m
+}
+
+func decodeCrash(m *gossippb.Crash) scheduler.Crash {
+	c := scheduler.Crash{
+		Fingerprint: m.GetFingerprint(), Completed: m.CompletedAgeMs != nil,
+		CompletedAge: time.Duration(m.GetCompletedAgeMs()) * time.Millisecond,
+	}
+	for _, e := range m.GetEnds() {
+		c.Ends = append(c.Ends, scheduler.CrashEnd{Endpoint: crash.Incarnation(e.GetEndpoint()), Age: time.Duration(e.GetAgeMs()) * time.Millisecond})
+	}
+	return c
+}
+
 // decode decodes a datagram. It rejects a report without a sender.
 func decode(datagram []byte) (scheduler.Report, error) {
 	m := new(gossippb.Report)
@@ -72,7 +95,7 @@
 		r.Loads = append(r.Loads, scheduler.EndpointLoad{Endpoint: l.GetEndpoint(), Running: int(l.GetRunning()), Prefill: int(l.GetPrefill())})
 	}
 	for _, c := range m.GetCrashes() {
-		r.Crashes = append(r.Crashes, scheduler.Crash{Fingerprint: c.GetFingerprint(), Count: int(c.GetCount())})
+		r.Crashes = append(r.Crashes, decodeCrash(c))
 	}
 	return r, nil
 }
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -1,87 +1,275 @@
 package scheduler
 
 import (
+	"fmt"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
+
+	"github.com/balsamstair/balsamstair/internal/crash"
+)
+
+const (
+	// unansweredRetention is how long after an attempt without a complete answer
+	// the end of its endpoint is attributed to it. The platform removes the entry
+	// of a dead endpoint after some seconds, and a new process is listed at its
+	// address after some more.
+	unansweredRetention = 15 * time.Second
+	// maxUnanswered limits the unanswered attempts kept for one endpoint.
+	maxUnanswered = 64
+	// maxReportedCrashes limits the requests in a complete report: all instances
+	// repeat what they know in turn. maxNoticedCrashes limits those in the notice
+	// that an instance sends as soon as it observes a crash.
+	maxReportedCrashes = 4
+	maxNoticedCrashes  = 32
+	// crashExpiryInterval is the time between removals of old evidence.
+	crashExpiryInterval = time.Second
+	// loggedEnds is the number of ends from which those that others observed are
+	// logged: an end of every endpoint is logged by the instances that saw it.
+	loggedEnds = crash.Threshold - 1
 )
 
+// unanswered is an attempt that ended without a complete answer. It is evidence
+// against its request if its endpoint turns out to have ended.
+type unanswered struct {
+	fingerprint uint64
+	request     string
+	at          Instant
+	// broken is set if the connection failed, as opposed to a caller that left or
+	// a deadline that passed.
+	broken bool
+	// accepted is set if the endpoint's address accepted a connection after the
+	// attempt: the process lives, or another one has already taken its place.
+	accepted bool
+}
+
+// EndEvidence is how an instance learned that an endpoint's process has ended.
+type EndEvidence string
+
+// The kinds of evidence.
 const (
-	// crashThreshold is the number of broken attempts from which a request counts
-	// as their cause.
-	crashThreshold = 3
-	// crashRetention is how long a request is remembered after it last broke an
-	// endpoint.
-	crashRetention = 60 * time.Second
-	// maxCrashes limits the number of remembered requests.
-	maxCrashes = 4096
-	// maxReportedCrashes limits the number of requests in one report.
-	maxReportedCrashes = 16
+	// ConnectionRefused means that nothing listens at its address.
+	ConnectionRefused EndEvidence = "refused"
+	// EndpointReplaced means that another process answers at its address or is
+	// listed there or under its ID.
+	EndpointReplaced EndEvidence = "replaced"
+	// EntryRemoved means that the platform removed its entry although it was not
+	// leaving.
+	EntryRemoved EndEvidence = "entry_removed"
 )
 
-// crashCount counts the broken attempts of requests with the same fingerprint.
-type crashCount struct {
-	count int
-	last  Instant
+func (e *endpoint) incarnation() crash.Incarnation { return crash.IncarnationOf(e.ID, e.Started) }
+
+// attemptUnanswered records an attempt without a complete answer. A broken
+// connection alone is no evidence that the endpoint ended, so a new connection
+// is tried.
+func (s *State) attemptUnanswered(e *endpoint, r *request, a Attempt) {
+	if e.endedAt != 0 {
+		s.recordCrash(e, r.Fingerprint, r.Name)
+		return
+	}
+	if len(e.unanswered) >= maxUnanswered {
+		e.unanswered = e.unanswered[1:]
+	}
+	broken := a.Outcome == Broken
+	e.unanswered = append(e.unanswered, unanswered{fingerprint: r.Fingerprint, request: r.Name, at: s.now, broken: broken})
+	s.withUnanswered[e.incarnation()] = e
+	if (broken || e.entryRemoved && !a.AnswerStarted) && !e.probing {
+		e.probing = true
+		s.emit(ProbeEndpoint{Endpoint: e.Endpoint})
+	}
+}
+
+// endpointAnswered records an answer to a request that was sent at a time. The
+// endpoint had not ended under the attempts that failed before.
+func (e *endpoint) endpointAnswered(sent Instant) {
+	if sent > e.endedAt {
+		e.endedAt = 0
+	}
+	e.unanswered = slices.DeleteFunc(e.unanswered, func(u unanswered) bool { return u.at < sent })
+}
+
+// endpointProbed applies the result of a ProbeEndpoint effect.
+func (s *State) endpointProbed(ev EndpointProbed) {
+	e := s.withUnanswered[crash.IncarnationOf(ev.Endpoint, ev.Started)]
+	if e == nil {
+		return
+	}
+	e.probing = false
+	switch ev.Result {
+	case ProbeRefused:
+		s.endpointEnded(e, ConnectionRefused)
+	case ProbeAccepted:
+		for k := range e.unanswered {
+			e.unanswered[k].accepted = true
+		}
+	case ProbeUnknown:
+		if e.entryRemoved {
+			s.endpointEnded(e, EntryRemoved)
+		}
+	}
 }
 
-func (s *State) recordBroken(r *request) {
-	c := s.crashes[r.Fingerprint]
-	if c == nil {
-		if len(s.crashes) >= maxCrashes {
-			return
+// endpointEnded attributes the end of an endpoint's process to the requests
+// whose attempts there had no answer.
+func (s *State) endpointEnded(e *endpoint, evidence EndEvidence) {
+	known := e.endedAt != 0
+	if evidence == EntryRemoved {
+		// Some endpoints serve on for a while without an entry.
+		e.entryRemoved = true
+	} else {
+		e.endedAt = s.now
+	}
+	e.probing = false
+	attributed := 0
+	for _, u := range e.unanswered {
+		if evidence == EntryRemoved && u.accepted {
+			continue
 		}
-		c = &crashCount{}
-		s.crashes[r.Fingerprint] = c
+		s.recordCrash(e, u.fingerprint, u.request)
+		attributed++
 	}
-	c.count++
-	c.last = s.now
-	s.log("broken_attempt_counted", "request", r.Name, "fingerprint", FormatFingerprint(r.Fingerprint),
-		"endpoint", r.tried[len(r.tried)-1], "count", c.count)
-	if c.count == crashThreshold {
-		s.log("crash_suspect", "request", r.Name, "broken_attempts", c.count)
+	e.unanswered = nil
+	delete(s.withUnanswered, e.incarnation())
+	if attributed > 0 || !known && evidence != EntryRemoved {
+		s.count(CounterEndpointEnds, string(evidence))
+		s.log("endpoint_ended", "endpoint", e.ID, "evidence", string(evidence), "unanswered", attributed)
+	}
+}
+
+// recordCrash records that e ended while it ran a request.
+func (s *State) recordCrash(e *endpoint, fingerprint uint64, request string) {
+	if !s.crashes.AddEnd(fingerprint, e.incarnation(), crash.Time(s.now)) {
+		return
 	}
+	s.count(CounterCrashes, "observed")
+	ends := len(s.crashes.Ends(fingerprint))
+	s.log("crash_recorded", "request", request, "fingerprint", FormatFingerprint(fingerprint), "endpoint", e.ID, "ends", ends)
+	s.suspectFound(fingerprint, ends)
 }
 
+// requestCompleted records that a request did not crash its endpoint.
+func (s *State) requestCompleted(r *request) {
+	if dropped := s.crashes.AddCompletion(r.Fingerprint, crash.Time(s.now)); len(dropped) >= loggedEnds {
+		s.log("crash_evidence_dropped", "request", r.Name, "fingerprint", FormatFingerprint(r.Fingerprint), "ends", len(dropped))
+	}
+}
+
+// suspectFound logs a request that has become a suspect.
+func (s *State) suspectFound(fingerprint uint64, ends int) {
+	if ends != crash.Threshold {
+		return
+	}
+	s.log("crash_suspect", append([]any{"fingerprint", FormatFingerprint(fingerprint)}, s.crashBasis(fingerprint)...)...)
+}
+
+// crashSuspect reports whether a request is refused because it crashes its
+// endpoints. Attempts here that may have crashed an endpoint, but are not
+// resolved yet, count if another one is known to have done so.
 func (s *State) crashSuspect(fingerprint uint64) bool {
-	c := s.crashes[fingerprint]
-	return c != nil && c.count >= crashThreshold
+	ends := len(s.crashes.Ends(fingerprint))
+	return ends >= crash.Threshold || ends > 0 && ends+s.unresolvedAt(fingerprint) >= crash.Threshold
 }
 
+// unresolvedAt returns the number of endpoints at which a request's connection
+// broke and that have not shown since whether they ended.
+func (s *State) unresolvedAt(fingerprint uint64) int {
+	n := 0
+	for _, e := range s.withUnanswered {
+		if slices.ContainsFunc(e.unanswered, func(u unanswered) bool {
+			return u.fingerprint == fingerprint && u.broken && !u.accepted
+		}) {
+			n++
+		}
+	}
+	return n
+}
+
+// expireCrashes removes old evidence.
 func (s *State) expireCrashes() {
-	for f, c := range s.crashes {
-		if s.now.Sub(c.last) > crashRetention {
-			delete(s.crashes, f)
+	if s.now.Sub(s.crashesExpiredAt) < crashExpiryInterval {
+		return
+	}
+	s.crashesExpiredAt = s.now
+	s.crashes.Expire(crash.Time(s.now))
+	for key, e := range s.withUnanswered {
+		e.unanswered = slices.DeleteFunc(e.unanswered, func(u unanswered) bool { return s.now.Sub(u.at) > unansweredRetention })
+		if len(e.unanswered) == 0 && !e.probing {
+			delete(s.withUnanswered, key)
 		}
 	}
 }
 
-// crashReport returns the requests with more than one broken attempt.
-func (s *State) crashReport() []Crash {
+// sendCrashNotice sends the crashes that this instance has observed since the
+// last notice to all others at once. Complete reports repeat them.
+func (s *State) sendCrashNotice() {
+	changed := s.crashes.TakeChanged(maxNoticedCrashes)
+	if len(changed) == 0 || len(s.members.byAddress) == 0 {
+		return
+	}
+	s.members.sequence++
+	s.emit(SendReport{To: s.members.addresses(), Report: Report{
+		Incarnation: s.cfg.Incarnation, Sequence: s.members.sequence, Address: s.cfg.Address, Partial: true,
+		Crashes: s.crashReport(changed),
+	}})
+}
+
+// crashReport returns records with the ages of what they contain.
+func (s *State) crashReport(records []crash.Record) []Crash {
 	var out []Crash
-	for f, c := range s.crashes {
-		if c.count > 1 && len(out) < maxReportedCrashes {
-			out = append(out, Crash{Fingerprint: f, Count: c.count})
+	for _, r := range records {
+		c := Crash{Fingerprint: r.Fingerprint, Completed: r.Completed, CompletedAge: s.now.Sub(Instant(r.CompletedAt))}
+		if !r.Completed {
+			c.CompletedAge = 0
+		}
+		for _, e := range r.Ends {
+			c.Ends = append(c.Ends, CrashEnd{Endpoint: e.Endpoint, Age: s.now.Sub(Instant(e.At))})
 		}
+		out = append(out, c)
 	}
 	return out
 }
 
-// mergeCrashes merges the counts reported by another instance.
+// mergeCrashes merges the evidence of another instance. Since merging is
+// idempotent, it does not matter whether the report is the newest.
 func (s *State) mergeCrashes(crashes []Crash, from string) {
-	for _, reported := range crashes {
-		c := s.crashes[reported.Fingerprint]
-		if c == nil {
-			if len(s.crashes) >= maxCrashes {
-				return
-			}
-			c = &crashCount{last: s.now}
-			s.crashes[reported.Fingerprint] = c
+	for _, c := range crashes {
+		r := crash.Record{Fingerprint: c.Fingerprint, Completed: c.Completed, CompletedAt: crash.Time(s.now.Add(-c.CompletedAge))}
+		for _, e := range c.Ends {
+			r.Ends = append(r.Ends, crash.End{Endpoint: e.Endpoint, At: crash.Time(s.now.Add(-e.Age)), Source: from})
 		}
-		if reported.Count > c.count {
-			c.count = reported.Count
-			s.log("broken_attempts_reported", "fingerprint", FormatFingerprint(reported.Fingerprint), "from", from, "count", c.count)
+		ends := len(s.crashes.Ends(c.Fingerprint))
+		for _, e := range s.crashes.Merge(r, crash.Time(s.now)) {
+			s.endReported(c.Fingerprint, e)
+		}
+		if after := len(s.crashes.Ends(c.Fingerprint)); after != ends {
+			s.suspectFound(c.Fingerprint, after)
+		}
+	}
+}
+
+// endReported counts and logs an end that another instance observed.
+func (s *State) endReported(fingerprint uint64, end crash.End) {
+	s.count(CounterCrashes, "reported")
+	if ends := len(s.crashes.Ends(fingerprint)); ends >= loggedEnds {
+		s.log("crash_reported", "fingerprint", FormatFingerprint(fingerprint), "from", end.Source,
+			"age_ms", s.now.Sub(Instant(end.At)).Milliseconds(), "ends", ends)
+	}
+}
+
+// crashBasis returns the ends that count for a request, as log fields: the
+// endpoint's incarnation, the age, and the instance that reported it.
+func (s *State) crashBasis(fingerprint uint64) []any {
+	var text []string
+	for _, e := range s.crashes.Ends(fingerprint) {
+		source := e.Source
+		if source == "" {
+			source = "observed"
 		}
+		text = append(text, fmt.Sprintf("%x/%dms/%s", uint64(e.Endpoint), s.now.Sub(Instant(e.At)).Milliseconds(), source))
 	}
+	return []any{"crash_ends", strings.Join(text, ","), "crash_unresolved", s.unresolvedAt(fingerprint)}
 }
 
 // FormatFingerprint returns the form of a request's fingerprint in the log.
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -25,6 +25,9 @@
 		// the log.
 		LogFields []any
 	}
+	// ProbeEndpoint opens a connection to an endpoint to find out whether its
+	// process has ended. EndpointProbed must follow.
+	ProbeEndpoint struct{ Endpoint directory.Endpoint }
 	// Refuse ends the request with a refusal. NotRun is set if it is certain that
 	// no endpoint ran the request or will run it.
 	Refuse struct {
@@ -70,6 +73,7 @@
 )
 
 func (Dispatch) effect()        {}
+func (ProbeEndpoint) effect()   {}
 func (Refuse) effect()          {}
 func (ConfigAdopted) effect()   {}
 func (ConfigConfirmed) effect() {}
@@ -97,7 +101,7 @@
 	QueueDelay Reason = "queue_delay"
 	// EndpointsFull means that endpoints rejected the request.
 	EndpointsFull Reason = "endpoints_full"
-	// CrashSuspect means that the request broke the endpoints that ran it.
+	// CrashSuspect means that endpoints have ended while they ran equal requests.
 	CrashSuspect Reason = "crash_suspect"
 	// AttemptsUsed means that the route allows no further attempt.
 	AttemptsUsed Reason = "attempts_used"
@@ -125,4 +129,8 @@
 	CounterRetries  Counter = "routed_retries_total"
 	CounterOutcomes Counter = "routed_attempts_total"
 	CounterReads    Counter = "platform_reads_total"
+	// CounterEndpointEnds counts by evidence, CrashesCounter by observed or
+	// reported.
+	CounterEndpointEnds Counter = "routed_endpoint_ends_total"
+	CounterCrashes      Counter = "routed_crashes_total"
 )
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -58,6 +58,14 @@
 	// refreshDue is set if the endpoint was in use at the last refresh or its
 	// load has changed since.
 	refreshDue bool
+	// endedAt is when the process was found to have ended, or zero. entryRemoved
+	// is set once its entry was removed although it was not leaving.
+	endedAt      Instant
+	entryRemoved bool
+	// unanswered holds the recent attempts without a complete answer, the oldest
+	// first. probing is set while a ProbeEndpoint effect is in progress.
+	unanswered []unanswered
+	probing    bool
 	// failures counts consecutive failures.
 	failures       int
 	suspendedUntil Instant
@@ -114,7 +122,9 @@
 	if added {
 		if e != nil {
 			s.removeEndpoint(e)
+			s.endpointEnded(e, EndpointReplaced)
 		}
+		s.addressTaken(entry)
 		e = &endpoint{otherLoads: map[uint64]EndpointLoad{}, relativeLatency: 1}
 		s.endpoints[entry.ID] = e
 		s.endpointsChanged = true
@@ -147,6 +157,19 @@
 	}
 	s.removeEndpoint(e)
 	s.log("endpoint_gone", "endpoint", id, "service", e.Service, "revision", revision)
+	if !e.Leaving {
+		s.endpointEnded(e, EntryRemoved)
+	}
+}
+
+// addressTaken applies the listing of a new process to those that were listed at
+// its address before.
+func (s *State) addressTaken(entry directory.Endpoint) {
+	for _, e := range s.withUnanswered {
+		if e.Address == entry.Address {
+			s.endpointEnded(e, EndpointReplaced)
+		}
+	}
 }
 
 func (s *State) removeEndpoint(e *endpoint) {
@@ -163,6 +186,7 @@
 		if e.lapsedAt != 0 && s.now.Sub(e.lapsedAt) >= lapseGrace {
 			s.removeEndpoint(e)
 			s.log("endpoint_gone", "endpoint", id, "service", e.Service, "reason", "lapsed")
+			s.endpointEnded(e, EntryRemoved)
 		}
 	}
 }
@@ -198,8 +222,12 @@
 	case NotSent, Broken:
 		failed = 1
 		s.suspend(e)
+		if a.Refused {
+			s.endpointEnded(e, ConnectionRefused)
+		}
 	case Misdirected:
 		e.suspendedUntil = s.now.Add(maxSuspension)
+		s.endpointEnded(e, EndpointReplaced)
 	case NotRun:
 		e.pausedUntil = s.now.Add(rejectionPause)
 		return
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/balsamstair/balsamstair/internal/routing"
 )
@@ -80,8 +81,28 @@
 	EventInterval time.Duration
 	// AnswerStarted reports whether part of the answer was delivered to the caller.
 	AnswerStarted bool
+	// Refused reports whether the endpoint's address refused the connection.
+	Refused bool
 }
 
+// ProbeResult is the result of a ProbeEndpoint effect.
+type ProbeResult int
+
+// The results of a probe.
+const (
+	// ProbeUnknown means that the address did not respond.
+	ProbeUnknown ProbeResult = iota
+	// ProbeAccepted means that it accepted a connection.
+	ProbeAccepted
+	// ProbeRefused means that nothing listens there.
+	ProbeRefused
+)
+
+var probeResultNames = [...]string{"unknown", "accepted", "refused"}
+
+// String returns the result's name in metrics.
+func (r ProbeResult) String() string { return probeResultNames[r] }
+
 // Events that Step accepts.
 type (
 	// Arrived reports a new request to schedule.
@@ -96,6 +117,13 @@
 		ID      RequestID
 		Attempt Attempt
 	}
+	// EndpointProbed reports the result of a ProbeEndpoint effect. Endpoint and
+	// Started identify the incarnation that was probed.
+	EndpointProbed struct {
+		Endpoint string
+		Started  int64
+		Result   ProbeResult
+	}
 	// DirectoryRead reports that a read of the platform's directory has ended.
 	DirectoryRead struct{ Update directory.Update }
 	// PeerReported delivers a report from another instance.
@@ -108,15 +136,16 @@
 	Tick struct{}
 )
 
-func (Arrived) event()       {}
-func (CallerGone) event()    {}
-func (AnswerStarted) event() {}
-func (AttemptEnded) event()  {}
-func (DirectoryRead) event() {}
-func (PeerReported) event()  {}
-func (SeedsChanged) event()  {}
-func (StopRequested) event() {}
-func (Tick) event()          {}
+func (Arrived) event()        {}
+func (CallerGone) event()     {}
+func (AnswerStarted) event()  {}
+func (AttemptEnded) event()   {}
+func (DirectoryRead) event()  {}
+func (EndpointProbed) event() {}
+func (PeerReported) event()   {}
+func (SeedsChanged) event()   {}
+func (StopRequested) event()  {}
+func (Tick) event()           {}
 
 // TickInterval is the time between Tick events. It is the resolution of the
 // scheduler's timeouts.
@@ -134,7 +163,7 @@
 	Zone string
 	// Age is the time since the sender started.
 	Age time.Duration
-	// Partial marks a report that contains only changed loads.
+	// Partial marks a report that contains only changed loads or new crashes.
 	Partial bool
 	// WithoutLoads marks a report that omits Loads although the sender may have
 	// some.
@@ -152,7 +181,7 @@
 	Members []string
 	Usage   []Usage
 	Loads   []EndpointLoad
-	// Crashes lists requests that broke the endpoints that ran them.
+	// Crashes lists some of the requests under which endpoints ended.
 	Crashes []Crash
 }
 
@@ -174,8 +203,18 @@
 	Prefill int
 }
 
-// Crash is the number of endpoints that a request broke.
+// Crash is the evidence against one request.
 type Crash struct {
 	Fingerprint uint64
-	Count       int
+	Ends        []CrashEnd
+	// CompletedAge is the time since a run of the request completed, if Completed
+	// is set.
+	Completed    bool
+	CompletedAge time.Duration
+}
+
+// CrashEnd is the end of an endpoint while it ran a request.
+type CrashEnd struct {
+	Endpoint crash.Incarnation
+	Age      time.Duration
 }
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -21,8 +21,10 @@
 	order      []RequestID
 	refused    map[RequestID]Refuse
 	reports    []SendReport
-	ready      bool
-	revision   int64
+	// probes are the probes that were not answered yet.
+	probes   []ProbeEndpoint
+	ready    bool
+	revision int64
 }
 
 const (
@@ -51,6 +53,8 @@
 			i.order = append(i.order, e.ID)
 		case Refuse:
 			i.refused[e.ID] = e
+		case ProbeEndpoint:
+			i.probes = append(i.probes, e)
 		case SendReport:
 			i.reports = append(i.reports, e)
 		case ReadyChanged:
@@ -150,6 +154,15 @@
 	i.step(AttemptEnded{ID: id, Attempt: a})
 }
 
+// answerProbes delivers the same result to all probes in progress.
+func (i *instance) answerProbes(result ProbeResult) {
+	probes := i.probes
+	i.probes = nil
+	for _, p := range probes {
+		i.step(EndpointProbed{Endpoint: p.Endpoint.ID, Started: p.Endpoint.Started, Result: result})
+	}
+}
+
 func (i *instance) running(id RequestID) bool { _, ok := i.dispatched[id]; return ok }
 
 // refusal returns the refusal of a request; it fails the test if the request
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -181,6 +181,7 @@
 	if r.Incarnation == s.cfg.Incarnation || r.Address == m.self {
 		return
 	}
+	s.mergeCrashes(r.Crashes, r.Address)
 	x := m.byAddress[r.Address]
 	if x != nil && x.incarnation == r.Incarnation && r.Sequence <= x.sequence {
 		return
@@ -219,7 +220,6 @@
 	if !r.WithoutLoads {
 		s.replaceLoads(x, r.Loads)
 	}
-	s.mergeCrashes(r.Crashes, r.Address)
 }
 
 func (s *State) memberJoined(previous *member, r Report) *member {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -108,7 +108,7 @@
 		Members:       s.memberSample(),
 		Usage:         s.usageReport(),
 		Loads:         s.loadReport(),
-		Crashes:       s.crashReport(),
+		Crashes:       s.crashReport(s.crashes.Next(maxReportedCrashes)),
 	}
 	if s.table != nil {
 		report.Version = s.table.Version()
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -17,6 +17,8 @@
 	endpoint *endpoint
 	// prefilling is set while the request runs and its answer has not started.
 	prefilling bool
+	// dispatched is when the request was last sent to an endpoint.
+	dispatched Instant
 	// mayHaveRun is set once an endpoint may have started to run the request.
 	mayHaveRun bool
 	// charged is the cost charged to the organisation's quota.
@@ -112,6 +114,7 @@
 func (s *State) dispatch(r *request, e *endpoint) {
 	r.endpoint = e
 	r.tried = append(r.tried, e.ID)
+	r.dispatched = s.now
 	e.ownRunning++
 	e.ownPrefill += r.PromptTokens
 	r.prefilling = true
@@ -128,6 +131,7 @@
 	if r := s.requests[id]; r != nil && r.endpoint != nil {
 		r.endPrefill()
 		r.endpoint.growWindow()
+		r.endpoint.endpointAnswered(r.dispatched)
 	}
 }
 
@@ -188,6 +192,9 @@
 		}
 	}
 	out := []any{"waiting", len(p.waiting), "endpoints", len(p.endpoints), "usable", usable, "instances", 1 + len(s.members.byAddress)}
+	if s.crashSuspect(r.Fingerprint) {
+		out = append(out, s.crashBasis(r.Fingerprint)...)
+	}
 	if r.Organisation == nil {
 		return out
 	}
@@ -220,9 +227,7 @@
 	if a.Outcome != NotSent && a.Outcome != NotRun && a.Outcome != Misdirected {
 		r.mayHaveRun = true
 	}
-	if a.Outcome == Broken {
-		s.recordBroken(r)
-	}
+	s.updateCrashEvidence(e, r, a)
 	if a.Outcome == Completed || a.Outcome == Abandoned {
 		s.removeRequest(r)
 	} else {
@@ -231,6 +236,21 @@
 	s.dispatchWaiting(s.pool(e.Service))
 }
 
+// updateCrashEvidence records what an attempt shows about its endpoint and its
+// request.
+func (s *State) updateCrashEvidence(e *endpoint, r *request, a Attempt) {
+	switch a.Outcome {
+	case Broken, Abandoned:
+		s.attemptUnanswered(e, r, a)
+	case Completed:
+		e.endpointAnswered(r.dispatched)
+		s.requestCompleted(r)
+	case NotRun, Failed:
+		e.endpointAnswered(r.dispatched)
+	case NotSent, Misdirected:
+	}
+}
+
 // retryOrRefuse queues a request again after a failed attempt, or refuses it.
 func (s *State) retryOrRefuse(r *request, failed *endpoint, a Attempt) {
 	p := s.pool(r.Service)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/balsamstair/balsamstair/internal/routing"
 )
@@ -56,8 +57,11 @@
 	// quotas holds the quota buckets by organisation name.
 	quotas  map[string]*bucket
 	members members
-	// crashes holds the counts of broken attempts by request fingerprint.
-	crashes map[uint64]*crashCount
+	// crashes holds the endpoints that ended under requests. withUnanswered holds
+	// the endpoints that have unanswered attempts or are being probed.
+	crashes          *crash.Table
+	withUnanswered   map[crash.Incarnation]*endpoint
+	crashesExpiredAt Instant
 	// nextAssignment is the earliest time at which endpoints are assigned to
 	// instances again.
 	nextAssignment Instant
@@ -83,16 +87,17 @@
 // endpoints.
 func New(cfg Config, now Instant) *State {
 	s := &State{
-		cfg:       cfg,
-		now:       now,
-		started:   now,
-		rand:      rand.New(rand.NewPCG(cfg.RandomSeed, cfg.Incarnation)),
-		platform:  platformStatus{confirmedAt: never},
-		endpoints: map[string]*endpoint{},
-		pools:     map[string]*pool{},
-		requests:  map[RequestID]*request{},
-		quotas:    map[string]*bucket{},
-		crashes:   map[uint64]*crashCount{},
+		cfg:            cfg,
+		now:            now,
+		started:        now,
+		rand:           rand.New(rand.NewPCG(cfg.RandomSeed, cfg.Incarnation)),
+		platform:       platformStatus{confirmedAt: never},
+		endpoints:      map[string]*endpoint{},
+		pools:          map[string]*pool{},
+		requests:       map[RequestID]*request{},
+		quotas:         map[string]*bucket{},
+		crashes:        crash.NewTable(),
+		withUnanswered: map[crash.Incarnation]*endpoint{},
 	}
 	s.members = newMembers(cfg, now)
 	return s
@@ -118,8 +123,11 @@
 		s.peerReported(ev.Report)
 	case SeedsChanged:
 		s.members.seedsChanged(ev.Seeds)
+	case EndpointProbed:
+		s.endpointProbed(ev)
 	case StopRequested:
 		s.leaving = true
+		s.sendCrashNotice()
 		s.sendReports(s.members.addresses())
 	case Tick:
 		s.tick()
@@ -142,6 +150,7 @@
 	for _, p := range s.poolOrder {
 		s.dispatchWaiting(p)
 	}
+	s.sendCrashNotice()
 	s.sendDueReports()
 	s.refreshLoads()
 }
