Crashing requests: check again at dispatch

What callers saw: a request that was already queued, or waited for a retry, was sent to an endpoint although three endpoints had ended under equal requests since it arrived.

Cause: whether a request crashes its endpoints was decided at its arrival and after its failed attempts only. Change: queued requests with the fingerprint of a new suspect are refused at once, not run; each dispatch checks again, which covers attempts that are not resolved yet.

Evidence: TestQueuedRequestIsRefusedOnceItIsSuspect failed before, listed in KNOWN-RED.txt, and passes.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -156,12 +156,21 @@
 	}
 }
 
-// suspectFound logs a request that has become a suspect.
+// suspectFound refuses the queued requests with a fingerprint once it is a
+// suspect.
 func (s *State) suspectFound(fingerprint uint64, ends int) {
 	if ends != crash.Threshold {
 		return
 	}
 	s.log("crash_suspect", append([]any{"fingerprint", FormatFingerprint(fingerprint)}, s.crashBasis(fingerprint)...)...)
+	for _, p := range s.poolOrder {
+		for _, r := range slices.Clone(p.waiting) {
+			if r.Fingerprint == fingerprint {
+				p.dequeue(r)
+				s.refuseHeld(r, CrashSuspect)
+			}
+		}
+	}
 }
 
 // crashSuspect reports whether a request is refused because it crashes its
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -119,6 +119,10 @@
 			p.sinceLowestRank = 0
 		}
 		p.dequeue(r)
+		if s.crashSuspect(r.Fingerprint) {
+			s.refuseHeld(r, CrashSuspect)
+			continue
+		}
 		s.dispatch(r, e)
 	}
 }
