Crashing requests: a partition is not the end of its endpoints

Cause: a zone was cut off by a partition that resets and refuses connections (33.5 s, how reset). The instances of that zone recorded 53 ends of endpoints that lived on, three of them under one popular request, and the others took over that evidence when the partition healed 4.6 s later.

Change: a refused connection counts once a report from the endpoint's zone has arrived since. Each instance also checks evidence against what it knows itself: an end is refuted if the process has answered a request sent later, or if the platform still lists it after the time at which it removes the entry of a dead one. That time follows from the new setting endpoint_heartbeat_ms.

Evidence: TestRefusalCountsOnlyOnceTheZoneIsReached and TestEndOfEndpointThatLivesOnIsRefuted, which fail without the change.

--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -86,6 +86,8 @@
 		Incarnation: incarnation,
 		Seeds:       cfg.Seeds,
 		RandomSeed:  incarnation,
+
+		EndpointHeartbeat: cfg.EndpointHeartbeat(),
 		Bounds: scheduler.Bounds{
 			Revocation:  cfg.Bounds.Revocation(),
 			RetryRatio:  cfg.Bounds.RetryRatio,
--- a/internal/crash/table.go
+++ b/internal/crash/table.go
@@ -217,11 +217,12 @@
 	}
 }
 
-// Expire removes ends after Retention and records without evidence.
-func (t *Table) Expire(now Time) {
+// Expire removes the ends after Retention and those that are refuted, and
+// records without evidence.
+func (t *Table) Expire(now Time, refuted func(End) bool) {
 	for k := len(t.order) - 1; k >= 0; k-- {
 		r := t.records[t.order[k]]
-		r.Ends = slices.DeleteFunc(r.Ends, func(e End) bool { return now-e.At >= Retention })
+		r.Ends = slices.DeleteFunc(r.Ends, func(e End) bool { return now-e.At >= Retention || refuted(e) })
 		if len(r.Ends) == 0 && (!r.Completed || now-r.CompletedAt >= completionRetention) {
 			delete(t.records, r.Fingerprint)
 			t.removeFromOrder(k)
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -23,6 +23,11 @@
 	// that an instance sends as soon as it observes a crash.
 	maxReportedCrashes = 4
 	maxNoticedCrashes  = 32
+	// missedHeartbeats is the number of heartbeats without which the platform
+	// removes an endpoint's entry. entryDelay covers the way of the change to this
+	// instance.
+	missedHeartbeats = 3
+	entryDelay       = 2500 * time.Millisecond
 	// crashExpiryInterval is the time between removals of old evidence.
 	crashExpiryInterval = time.Second
 	// loggedEnds is the number of ends from which those that others observed are
@@ -49,7 +54,8 @@
 
 // The kinds of evidence.
 const (
-	// ConnectionRefused means that nothing listens at its address.
+	// ConnectionRefused means that nothing listens at its address although packets
+	// pass to its zone.
 	ConnectionRefused EndEvidence = "refused"
 	// EndpointReplaced means that another process answers at its address or is
 	// listed there or under its ID.
@@ -84,9 +90,13 @@
 // endpointAnswered records an answer to a request that was sent at a time. The
 // endpoint had not ended under the attempts that failed before.
 func (e *endpoint) endpointAnswered(sent Instant) {
+	e.answeredSent = max(e.answeredSent, sent)
 	if sent > e.endedAt {
 		e.endedAt = 0
 	}
+	if sent > e.refusedAt {
+		e.refusedAt = 0
+	}
 	e.unanswered = slices.DeleteFunc(e.unanswered, func(u unanswered) bool { return u.at < sent })
 }
 
@@ -99,7 +109,7 @@
 	e.probing = false
 	switch ev.Result {
 	case ProbeRefused:
-		s.endpointEnded(e, ConnectionRefused)
+		s.connectionRefused(e)
 	case ProbeAccepted:
 		for k := range e.unanswered {
 			e.unanswered[k].accepted = true
@@ -111,6 +121,30 @@
 	}
 }
 
+// connectionRefused records that an endpoint's address refused a connection.
+// Some partitions refuse connections in place of dropping packets, so this is no
+// evidence until another instance of the endpoint's zone is heard from.
+func (s *State) connectionRefused(e *endpoint) {
+	for _, x := range s.members.byAddress {
+		if x.zone == e.Zone {
+			e.refusedAt = s.now
+			s.withUnanswered[e.incarnation()] = e
+			return
+		}
+	}
+	s.endpointEnded(e, ConnectionRefused)
+}
+
+// zoneReached confirms the refused connections to endpoints of a zone from which
+// a report was received.
+func (s *State) zoneReached(zone string) {
+	for _, e := range s.withUnanswered {
+		if e.refusedAt != 0 && e.Zone == zone {
+			s.endpointEnded(e, ConnectionRefused)
+		}
+	}
+}
+
 // endpointEnded attributes the end of an endpoint's process to the requests
 // whose attempts there had no answer.
 func (s *State) endpointEnded(e *endpoint, evidence EndEvidence) {
@@ -121,7 +155,7 @@
 	} else {
 		e.endedAt = s.now
 	}
-	e.probing = false
+	e.probing, e.refusedAt = false, 0
 	attributed := 0
 	for _, u := range e.unanswered {
 		if evidence == EntryRemoved && u.accepted {
@@ -201,15 +235,32 @@
 		return
 	}
 	s.crashesExpiredAt = s.now
-	s.crashes.Expire(crash.Time(s.now))
+	s.crashes.Expire(crash.Time(s.now), s.endRefuted)
 	for key, e := range s.withUnanswered {
 		e.unanswered = slices.DeleteFunc(e.unanswered, func(u unanswered) bool { return s.now.Sub(u.at) > unansweredRetention })
-		if len(e.unanswered) == 0 && !e.probing {
+		if s.now.Sub(e.refusedAt) > unansweredRetention {
+			e.refusedAt = 0
+		}
+		if len(e.unanswered) == 0 && !e.probing && e.refusedAt == 0 {
 			delete(s.withUnanswered, key)
 		}
 	}
 }
 
+// endRefuted reports whether an endpoint has not ended when it was thought to:
+// it has answered a later request, or the platform lists the same process after
+// the time at which it removes the entry of one that has ended.
+func (s *State) endRefuted(end crash.End) bool {
+	e := s.incarnations[end.Endpoint]
+	if e == nil {
+		return false
+	}
+	at := Instant(end.At)
+	removal := missedHeartbeats*s.cfg.EndpointHeartbeat + entryDelay
+	listed := s.platform.confirmedAt.Sub(max(at, s.platform.reconnectedAt)) > removal
+	return e.answeredSent > at || listed
+}
+
 // sendCrashNotice sends the crashes that this instance has observed since the
 // last notice to all others at once. Complete reports repeat them.
 func (s *State) sendCrashNotice() {
@@ -246,7 +297,10 @@
 	for _, c := range crashes {
 		r := crash.Record{Fingerprint: c.Fingerprint, Completed: c.Completed, CompletedAt: crash.Time(s.now.Add(-c.CompletedAge))}
 		for _, e := range c.Ends {
-			r.Ends = append(r.Ends, crash.End{Endpoint: e.Endpoint, At: crash.Time(s.now.Add(-e.Age)), Source: from})
+			end := crash.End{Endpoint: e.Endpoint, At: crash.Time(s.now.Add(-e.Age)), Source: from}
+			if !s.endRefuted(end) {
+				r.Ends = append(r.Ends, end)
+			}
 		}
 		ends := len(s.crashes.Ends(c.Fingerprint))
 		for _, e := range s.crashes.Merge(r, crash.Time(s.now)) {
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -136,6 +136,69 @@
 	must.SliceEmpty(t, i.s.crashes.Ends(666))
 }
 
+// Guards against a partition that refuses connections and is taken for the end
+// of every endpoint behind it.
+func TestRefusalCountsOnlyOnceTheZoneIsReached(t *testing.T) {
+	i := newServingInstance(t, 1, 4)
+	report := Report{Incarnation: 9, Sequence: 1, Address: "10.0.0.9:1", Zone: "a"}
+	i.step(PeerReported{Report: report})
+	i.breakAttempt(666)
+	i.answerProbes(ProbeRefused)
+	i.advance(time.Second)
+	must.SliceEmpty(t, i.s.crashes.Ends(666))
+	other := Report{Incarnation: 8, Sequence: 1, Address: "10.0.0.8:1", Zone: "b"}
+	i.step(PeerReported{Report: other})
+	must.SliceEmpty(t, i.s.crashes.Ends(666))
+	report.Sequence++
+	i.step(PeerReported{Report: report})
+	must.Len(t, 1, i.s.crashes.Ends(666))
+}
+
+// Guards against an instance that was cut off from endpoints and whose wrong
+// evidence makes all others refuse a request.
+func TestEndOfEndpointThatLivesOnIsRefuted(t *testing.T) {
+	ends := func(age time.Duration) []Crash {
+		c := Crash{Fingerprint: 666}
+		for _, e := range engines(3, 4) {
+			c.Ends = append(c.Ends, CrashEnd{Endpoint: crash.IncarnationOf(e.Endpoint.ID, e.Endpoint.Started), Age: age})
+		}
+		return []Crash{c}
+	}
+	report := Report{Incarnation: 9, Sequence: 1, Address: "10.0.0.9:1"}
+
+	// The platform still lists the processes after the time of its removals.
+	i := newServingInstance(t, 3, 4)
+	i.advance(10 * time.Second)
+	report.Crashes = ends(0)
+	i.step(PeerReported{Report: report})
+	must.True(t, i.s.crashSuspect(666))
+	i.advance(8 * time.Second)
+	must.False(t, i.s.crashSuspect(666))
+	report.Sequence, report.Crashes = 2, ends(8*time.Second)
+	i.step(PeerReported{Report: report})
+	must.False(t, i.s.crashSuspect(666))
+
+	// While the platform is out of reach, its list shows nothing.
+	i = newServingInstance(t, 3, 4)
+	report.Crashes = ends(0)
+	i.step(PeerReported{Report: report})
+	i.advanceOffline(20 * time.Second)
+	i.advance(3 * time.Second)
+	must.True(t, i.s.crashSuspect(666))
+	i.advance(8 * time.Second)
+	must.False(t, i.s.crashSuspect(666))
+
+	// They have answered requests that were sent after they are said to have ended.
+	i = newServingInstance(t, 3, 4)
+	i.advance(2 * time.Second)
+	for range 3 {
+		i.step(AnswerStarted{ID: i.arrive(route("r", 0), nil)})
+	}
+	report.Crashes = ends(time.Second)
+	i.step(PeerReported{Report: report})
+	must.False(t, i.s.crashSuspect(666))
+}
+
 // Guards against a crash that only an instance knows that has died since, and
 // against one that an instance which started later never hears of.
 func TestObservedCrashIsSentToAllAndRepeated(t *testing.T) {
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/balsamstair/balsamstair/internal/routing"
 )
@@ -62,6 +63,11 @@
 	// is set once its entry was removed although it was not leaving.
 	endedAt      Instant
 	entryRemoved bool
+	// answeredSent is when the latest request that the endpoint answered was sent.
+	answeredSent Instant
+	// refusedAt is when its address refused a connection, or zero. The refusal
+	// counts once the path to its zone is known to exist.
+	refusedAt Instant
 	// unanswered holds the recent attempts without a complete answer, the oldest
 	// first. probing is set while a ProbeEndpoint effect is in progress.
 	unanswered []unanswered
@@ -127,6 +133,7 @@
 		s.addressTaken(entry)
 		e = &endpoint{otherLoads: map[uint64]EndpointLoad{}, relativeLatency: 1}
 		s.endpoints[entry.ID] = e
+		s.incarnations[crash.IncarnationOf(entry.ID, entry.Started)] = e
 		s.endpointsChanged = true
 		s.newEndpoints = append(s.newEndpoints, e)
 	}
@@ -175,6 +182,7 @@
 func (s *State) removeEndpoint(e *endpoint) {
 	e.removed = true
 	delete(s.endpoints, e.ID)
+	delete(s.incarnations, e.incarnation())
 	s.endpointsChanged = true
 	s.pool(e.Service).remove(e)
 }
@@ -223,7 +231,7 @@
 		failed = 1
 		s.suspend(e)
 		if a.Refused {
-			s.endpointEnded(e, ConnectionRefused)
+			s.connectionRefused(e)
 		}
 	case Misdirected:
 		e.suspendedUntil = s.now.Add(maxSuspension)
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -214,6 +214,7 @@
 	}
 	x.sequence = r.Sequence
 	x.lastContact = s.now
+	s.zoneReached(x.zone)
 	x.demand = r.Demand
 	s.probeUnknownMembers(r.Members)
 	s.applyUsage(x, r.Usage, newlyConnected)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -22,6 +22,9 @@
 	// RandomSeed initialises the state's random number generator.
 	RandomSeed uint64
 	Bounds     Bounds
+	// EndpointHeartbeat is the interval at which endpoints renew their entries in
+	// the directory.
+	EndpointHeartbeat time.Duration
 }
 
 // Bounds are the operator's requirements for the deployment.
@@ -57,6 +60,8 @@
 	// quotas holds the quota buckets by organisation name.
 	quotas  map[string]*bucket
 	members members
+	// incarnations holds the listed endpoints by incarnation.
+	incarnations map[crash.Incarnation]*endpoint
 	// crashes holds the endpoints that ended under requests. withUnanswered holds
 	// the endpoints that have unanswered attempts or are being probed.
 	crashes          *crash.Table
@@ -96,6 +101,7 @@
 		pools:          map[string]*pool{},
 		requests:       map[RequestID]*request{},
 		quotas:         map[string]*bucket{},
+		incarnations:   map[crash.Incarnation]*endpoint{},
 		crashes:        crash.NewTable(),
 		withUnanswered: map[crash.Incarnation]*endpoint{},
 	}
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -24,6 +24,9 @@
 	// MetricsAddress is an additional address of the operator interface; it may
 	// be empty.
 	MetricsAddress string `toml:"metrics_address"`
+	// EndpointHeartbeatMS is the interval, in milliseconds, at which endpoints
+	// renew their entries in the platform's store.
+	EndpointHeartbeatMS int64 `toml:"endpoint_heartbeat_ms"`
 	// Seeds are the gossip addresses of instances through which others are
 	// discovered.
 	Seeds  []string     `toml:"seeds"`
@@ -31,6 +34,11 @@
 	Limits RoutedLimits `toml:"limits"`
 }
 
+// EndpointHeartbeat returns EndpointHeartbeatMS as a duration.
+func (s *Routed) EndpointHeartbeat() time.Duration {
+	return time.Duration(s.EndpointHeartbeatMS) * time.Millisecond
+}
+
 // RoutedBounds holds the operator's requirements on all instances together.
 type RoutedBounds struct {
 	// RevocationMS is the time in milliseconds after which no instance accepts a
@@ -75,6 +83,8 @@
 // RoutedDefaults returns the values of settings that a file does not set.
 func RoutedDefaults() Routed {
 	return Routed{
+		EndpointHeartbeatMS: 1000,
+
 		Bounds: RoutedBounds{RetryRatio: 0.1, RetryExtra: 10, RetryWindowS: 10, GraceS: 30},
 		Limits: RoutedLimits{MemoryMB: 512, IdleTimeoutMS: 60_000},
 	}
@@ -139,6 +149,9 @@
 			report.Add(key(n.key), "%v is negative", n.value)
 		}
 	}
+	if s.EndpointHeartbeatMS < 1 || s.EndpointHeartbeatMS > maxTimeMS {
+		report.Add(key("endpoint_heartbeat_ms"), "%d is not between 1 and %d", s.EndpointHeartbeatMS, maxTimeMS)
+	}
 	if s.Limits.MemoryMB < minMemoryMB {
 		report.Add(key("limits.memory_mb"), "%d is less than %d", s.Limits.MemoryMB, minMemoryMB)
 	}
