Crashing requests: refused connections and removed entries need a path

Cause: a report that arrived when the partition healed confirmed connections that had been refused 5.7 s before; and the platform removed the entries of the partitioned zone's endpoints, which lived on, so that the other zones took them for ended.

Change: a refused connection counts only if something is heard from the zone between 50 ms and 1 s later: a report, or an answer to a request sent then. A removed entry counts only if the zone was heard from within a second. An end is dated by the attempt, not by its confirmation, so that later answers refute it.

Evidence: TestRefusalCountsOnlyOnceTheZoneIsReached (extended) and TestRemovedEntryOfPartitionedZoneIsNoEnd fail without the change.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -28,6 +28,11 @@
 	// instance.
 	missedHeartbeats = 3
 	entryDelay       = 2500 * time.Millisecond
+	// pathProofDelay and pathProofWindow bound the time after a refused connection
+	// in which something must be heard from the endpoint's zone. What arrives
+	// before the delay may have been sent before a partition began.
+	pathProofDelay  = 50 * time.Millisecond
+	pathProofWindow = time.Second
 	// crashExpiryInterval is the time between removals of old evidence.
 	crashExpiryInterval = time.Second
 	// loggedEnds is the number of ends from which those that others observed are
@@ -72,7 +77,7 @@
 // is tried.
 func (s *State) attemptUnanswered(e *endpoint, r *request, a Attempt) {
 	if e.endedAt != 0 {
-		s.recordCrash(e, r.Fingerprint, r.Name)
+		s.recordCrash(e, unanswered{fingerprint: r.Fingerprint, request: r.Name, at: s.now})
 		return
 	}
 	if len(e.unanswered) >= maxUnanswered {
@@ -89,7 +94,7 @@
 
 // endpointAnswered records an answer to a request that was sent at a time. The
 // endpoint had not ended under the attempts that failed before.
-func (e *endpoint) endpointAnswered(sent Instant) {
+func (s *State) endpointAnswered(e *endpoint, sent Instant) {
 	e.answeredSent = max(e.answeredSent, sent)
 	if sent > e.endedAt {
 		e.endedAt = 0
@@ -98,6 +103,7 @@
 		e.refusedAt = 0
 	}
 	e.unanswered = slices.DeleteFunc(e.unanswered, func(u unanswered) bool { return u.at < sent })
+	s.zoneReached(e.Zone, sent)
 }
 
 // endpointProbed applies the result of a ProbeEndpoint effect.
@@ -115,7 +121,7 @@
 			e.unanswered[k].accepted = true
 		}
 	case ProbeUnknown:
-		if e.entryRemoved {
+		if e.entryRemoved && s.zoneReachable(e.Zone) {
 			s.endpointEnded(e, EntryRemoved)
 		}
 	}
@@ -123,36 +129,53 @@
 
 // connectionRefused records that an endpoint's address refused a connection.
 // Some partitions refuse connections in place of dropping packets, so this is no
-// evidence until another instance of the endpoint's zone is heard from.
+// evidence until something else is heard from the endpoint's zone.
 func (s *State) connectionRefused(e *endpoint) {
-	for _, x := range s.members.byAddress {
-		if x.zone == e.Zone {
-			e.refusedAt = s.now
-			s.withUnanswered[e.incarnation()] = e
-			return
-		}
+	if !s.members.knownInZone(e.Zone) {
+		s.endpointEnded(e, ConnectionRefused)
+		return
 	}
-	s.endpointEnded(e, ConnectionRefused)
+	e.refusedAt = s.now
+	s.withUnanswered[e.incarnation()] = e
 }
 
-// zoneReached confirms the refused connections to endpoints of a zone from which
-// a report was received.
-func (s *State) zoneReached(zone string) {
+// zoneReached records that packets passed between this instance and a zone at a
+// time, which confirms connections that were refused shortly before.
+func (s *State) zoneReached(zone string, at Instant) {
+	s.zonesReached[zone] = max(s.zonesReached[zone], at)
 	for _, e := range s.withUnanswered {
-		if e.refusedAt != 0 && e.Zone == zone {
+		if e.refusedAt == 0 || e.Zone != zone {
+			continue
+		}
+		if since := at.Sub(e.refusedAt); since > pathProofWindow {
+			e.refusedAt = 0
+		} else if since >= pathProofDelay {
 			s.endpointEnded(e, ConnectionRefused)
 		}
 	}
 }
 
+// zoneReachable reports whether packets have passed between this instance and a
+// zone recently, or can't have because no other instance is known there.
+func (s *State) zoneReachable(zone string) bool {
+	return !s.members.knownInZone(zone) || s.now.Sub(s.zonesReached[zone]) <= pathProofWindow
+}
+
+// entryRemoved records that the platform removed the entry of an endpoint that
+// was not leaving. Endpoints of a partitioned zone lose their entries too, and
+// some that leave serve on for a while without one.
+func (s *State) entryRemoved(e *endpoint) {
+	e.entryRemoved = true
+	if s.zoneReachable(e.Zone) {
+		s.endpointEnded(e, EntryRemoved)
+	}
+}
+
 // endpointEnded attributes the end of an endpoint's process to the requests
 // whose attempts there had no answer.
 func (s *State) endpointEnded(e *endpoint, evidence EndEvidence) {
 	known := e.endedAt != 0
-	if evidence == EntryRemoved {
-		// Some endpoints serve on for a while without an entry.
-		e.entryRemoved = true
-	} else {
+	if evidence != EntryRemoved {
 		e.endedAt = s.now
 	}
 	e.probing, e.refusedAt = false, 0
@@ -161,7 +184,7 @@
 		if evidence == EntryRemoved && u.accepted {
 			continue
 		}
-		s.recordCrash(e, u.fingerprint, u.request)
+		s.recordCrash(e, u)
 		attributed++
 	}
 	e.unanswered = nil
@@ -173,14 +196,14 @@
 }
 
 // recordCrash records that e ended while it ran a request.
-func (s *State) recordCrash(e *endpoint, fingerprint uint64, request string) {
-	if !s.crashes.AddEnd(fingerprint, e.incarnation(), crash.Time(s.now)) {
+func (s *State) recordCrash(e *endpoint, u unanswered) {
+	if !s.crashes.AddEnd(u.fingerprint, e.incarnation(), crash.Time(u.at)) {
 		return
 	}
 	s.count(CounterCrashes, "observed")
-	ends := len(s.crashes.Ends(fingerprint))
-	s.log("crash_recorded", "request", request, "fingerprint", FormatFingerprint(fingerprint), "endpoint", e.ID, "ends", ends)
-	s.suspectFound(fingerprint, ends)
+	ends := len(s.crashes.Ends(u.fingerprint))
+	s.log("crash_recorded", "request", u.request, "fingerprint", FormatFingerprint(u.fingerprint), "endpoint", e.ID, "ends", ends)
+	s.suspectFound(u.fingerprint, ends)
 }
 
 // requestCompleted records that a request did not crash its endpoint.
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -144,16 +144,47 @@
 	i.step(PeerReported{Report: report})
 	i.breakAttempt(666)
 	i.answerProbes(ProbeRefused)
-	i.advance(time.Second)
+	i.advance(2 * pathProofWindow)
 	must.SliceEmpty(t, i.s.crashes.Ends(666))
 	other := Report{Incarnation: 8, Sequence: 1, Address: "10.0.0.8:1", Zone: "b"}
 	i.step(PeerReported{Report: other})
 	must.SliceEmpty(t, i.s.crashes.Ends(666))
+	// The partition has ended: the endpoint may have lived on behind it.
+	report.Sequence++
+	i.step(PeerReported{Report: report})
+	must.SliceEmpty(t, i.s.crashes.Ends(666))
+
+	i.breakAttempt(666)
+	i.answerProbes(ProbeRefused)
+	// This report may have been sent before the partition began.
+	report.Sequence++
+	i.step(PeerReported{Report: report})
+	must.SliceEmpty(t, i.s.crashes.Ends(666))
+	i.advance(pathProofDelay)
 	report.Sequence++
 	i.step(PeerReported{Report: report})
 	must.Len(t, 1, i.s.crashes.Ends(666))
 }
 
+// Guards against a partitioned zone whose endpoints all lose their entries and
+// are taken for ended.
+func TestRemovedEntryOfPartitionedZoneIsNoEnd(t *testing.T) {
+	for _, partitioned := range []bool{true, false} {
+		i := newServingInstance(t, 1, 4)
+		report := Report{Incarnation: 9, Sequence: 1, Address: "10.0.0.9:1", Zone: "a"}
+		i.step(PeerReported{Report: report})
+		i.breakAttempt(666)
+		i.answerProbes(ProbeUnknown)
+		i.advance(2 * time.Second)
+		if !partitioned {
+			report.Sequence++
+			i.step(PeerReported{Report: report})
+		}
+		i.applyChanges(directory.Change{EndpointID: "e0"})
+		must.Eq(t, partitioned, len(i.s.crashes.Ends(666)) == 0)
+	}
+}
+
 // Guards against an instance that was cut off from endpoints and whose wrong
 // evidence makes all others refuse a request.
 func TestEndOfEndpointThatLivesOnIsRefuted(t *testing.T) {
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -165,7 +165,7 @@
 	s.removeEndpoint(e)
 	s.log("endpoint_gone", "endpoint", id, "service", e.Service, "revision", revision)
 	if !e.Leaving {
-		s.endpointEnded(e, EntryRemoved)
+		s.entryRemoved(e)
 	}
 }
 
@@ -194,7 +194,7 @@
 		if e.lapsedAt != 0 && s.now.Sub(e.lapsedAt) >= lapseGrace {
 			s.removeEndpoint(e)
 			s.log("endpoint_gone", "endpoint", id, "service", e.Service, "reason", "lapsed")
-			s.endpointEnded(e, EntryRemoved)
+			s.entryRemoved(e)
 		}
 	}
 }
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -119,6 +119,16 @@
 	return now.Sub(x.lastContact) <= maxMissedReports*m.reportIntervalTo(x)
 }
 
+// knownInZone reports whether a member is known in an availability zone.
+func (m *members) knownInZone(zone string) bool {
+	for _, x := range m.byAddress {
+		if x.zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
 // countSameZone updates the number of other instances in the own zone.
 func (m *members) countSameZone() {
 	m.sameZone = 0
@@ -214,7 +224,7 @@
 	}
 	x.sequence = r.Sequence
 	x.lastContact = s.now
-	s.zoneReached(x.zone)
+	s.zoneReached(x.zone, s.now)
 	x.demand = r.Demand
 	s.probeUnknownMembers(r.Members)
 	s.applyUsage(x, r.Usage, newlyConnected)
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -131,7 +131,7 @@
 	if r := s.requests[id]; r != nil && r.endpoint != nil {
 		r.endPrefill()
 		r.endpoint.growWindow()
-		r.endpoint.endpointAnswered(r.dispatched)
+		s.endpointAnswered(r.endpoint, r.dispatched)
 	}
 }
 
@@ -243,10 +243,10 @@
 	case Broken, Abandoned:
 		s.attemptUnanswered(e, r, a)
 	case Completed:
-		e.endpointAnswered(r.dispatched)
+		s.endpointAnswered(e, r.dispatched)
 		s.requestCompleted(r)
 	case NotRun, Failed:
-		e.endpointAnswered(r.dispatched)
+		s.endpointAnswered(e, r.dispatched)
 	case NotSent, Misdirected:
 	}
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -64,7 +64,9 @@
 	incarnations map[crash.Incarnation]*endpoint
 	// crashes holds the endpoints that ended under requests. withUnanswered holds
 	// the endpoints that have unanswered attempts or are being probed.
-	crashes          *crash.Table
+	crashes *crash.Table
+	// zonesReached is when packets last passed to a zone, by zone.
+	zonesReached     map[string]Instant
 	withUnanswered   map[crash.Incarnation]*endpoint
 	crashesExpiredAt Instant
 	// nextAssignment is the earliest time at which endpoints are assigned to
@@ -103,6 +105,7 @@
 		quotas:         map[string]*bucket{},
 		incarnations:   map[crash.Incarnation]*endpoint{},
 		crashes:        crash.NewTable(),
+		zonesReached:   map[string]Instant{},
 		withUnanswered: map[crash.Incarnation]*endpoint{},
 	}
 	s.members = newMembers(cfg, now)
