Crashing requests: an endpoint listed again has not ended

Cause: the entries of the partitioned zone's endpoints came back under the same ID and start, and the listing was taken for another process at their addresses. Change: the same incarnation ends nothing. Evidence: TestEndpointListedAgainIsNotReplaced failed before.

--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// Guards against an endpoint that is taken for replaced when the platform lists
+// the same process again, as after a partition of its zone.
+func TestEndpointListedAgainIsNotReplaced(t *testing.T) {
+	i := newServingInstance(t, 1, 4)
+	report := Report{Incarnation: 9, Sequence: 1, Address: "10.0.0.9:1", Zone: "a"}
+	i.step(PeerReported{Report: report})
+	i.breakAttempt(666)
+	i.answerProbes(ProbeRefused)
+	i.advance(2 * pathProofWindow)
+	i.applyChanges(directory.Change{EndpointID: "e0"})
+	i.applyChanges(engine(0, 4))
+	must.SliceEmpty(t, i.s.crashes.Ends(666))
+}
+
 // Guards against an end that is attributed to a request although its endpoint
 // has answered another one since, or was leaving as planned.
 func TestEndpointThatAnsweredSinceDoesNotCount(t *testing.T) {
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -169,11 +169,16 @@
 	}
 }
 
-// addressTaken applies the listing of a new process to those that were listed at
-// its address before.
+// addressTaken applies the listing of a process to those that were listed at its
+// address before. If it is the same process, its entry was only missing for a
+// time.
 func (s *State) addressTaken(entry directory.Endpoint) {
-	for _, e := range s.withUnanswered {
-		if e.Address == entry.Address {
+	incarnation := crash.IncarnationOf(entry.ID, entry.Started)
+	for key, e := range s.withUnanswered {
+		switch {
+		case key == incarnation:
+			delete(s.withUnanswered, key)
+		case e.Address == entry.Address:
 			s.endpointEnded(e, EndpointReplaced)
 		}
 	}
