SIGHUP during the first milliseconds does not end the process

Cause: by its time the SIGHUP arrived just after the new process had been started. Change: package hangup, which is initialised before every dependency, registers it. A signal in the first 3 ms, before the runtime runs, still ends any process.

--- a/cmd/balsamd/main.go
+++ b/cmd/balsamd/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/balsamstair/balsamstair/internal/hangup"
 	"github.com/balsamstair/balsamstair/internal/logline"
 	"github.com/balsamstair/balsamstair/internal/settings"
 )
@@ -25,9 +26,6 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	// Registered first: before that, SIGHUP terminates the process.
-	sighups := make(chan os.Signal, 1)
-	signal.Notify(sighups, syscall.SIGHUP)
 	path := flag.String("settings", "", "`file` with the instance's settings (TOML)")
 	level := flag.String("log-level", "info", "minimum log `level`: debug, info, warn or error")
 	routed := flag.Bool("routed", false, "serve routed traffic by the platform's configuration")
@@ -37,7 +35,7 @@
 		return exitSettings
 	}
 	if *routed {
-		return runRouted(*path, *level, sighups)
+		return runRouted(*path, *level, hangup.Received())
 	}
 	cfg, err := settings.Load(*path)
 	if err != nil {
@@ -54,7 +52,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go func() {
-		for range sighups {
+		for range hangup.Received() {
 			log.Warn("settings_not_reloaded", "reason", "settings are read only at start")
 		}
 	}()
