Crashing requests in callers' mode: crashes at different owners add up

What callers saw (module test): a request that had crashed two endpoints was sent to a third one.

Each owner counted the crashes at its own endpoints, and crashReported kept the larger of two counts: two owners that counted one crash at the same time stayed at one.

Change: the owners' evidence is the table of package crash, with a threshold of two. An outage is identified by the endpoint, the start of its process and the number of outages since, so that two owners of one endpoint count it once. A completed run clears the crashes before it, now also those of a request that is refused already.

Evidence: TestCrashesAtDifferentOwnersAddUp failed before: no member refused the request after two crashes.

--- a/internal/crash/table.go
+++ b/internal/crash/table.go
@@ -9,19 +9,14 @@
 )
 
 const (
-	// Threshold is the number of endpoints that must have ended under a request
-	// before it is a suspect.
-	Threshold = 3
 	// Retention is how long an end counts.
 	Retention = 10 * time.Minute
 	// completionRetention is how long a completed run is remembered if the
 	// request has no later end. It is long compared with the time in which other
 	// instances learn of the completion and drop the ends before it.
 	completionRetention = time.Minute
-	// maxRequests limits the number of requests in a Table.
-	maxRequests = 4096
 	// maxEnds limits the number of ends kept for one request.
-	maxEnds = 2 * Threshold
+	maxEnds = 6
 	// recentCompletions is the number of completed runs that are remembered for
 	// requests without evidence.
 	recentCompletions = 256
@@ -58,13 +53,11 @@
 	CompletedAt Time
 }
 
-// Suspect reports whether enough endpoints have ended under the request.
-func (r *Record) Suspect() bool { return len(r.Ends) >= Threshold }
-
 // Table holds the records by request fingerprint. It is not safe for concurrent
 // use.
 type Table struct {
-	records map[uint64]*Record
+	threshold, limit int
+	records          map[uint64]*Record
 	// order holds the fingerprints of the records in the order in which they are
 	// reported; cursor is the index of the next one.
 	order  []uint64
@@ -74,9 +67,10 @@
 	completions completionRing
 }
 
-// NewTable returns an empty Table.
-func NewTable() *Table {
-	return &Table{records: map[uint64]*Record{}, completions: completionRing{at: map[uint64]Time{}}}
+// NewTable returns an empty Table of at most limit requests, in which threshold
+// ends make a request a suspect.
+func NewTable(threshold, limit int) *Table {
+	return &Table{threshold: threshold, limit: limit, records: map[uint64]*Record{}, completions: completionRing{at: map[uint64]Time{}}}
 }
 
 // Ends returns the ends that count for a request. The result must not be
@@ -88,18 +82,27 @@
 	return nil
 }
 
-// Suspect reports whether a request is refused.
-func (t *Table) Suspect(fingerprint uint64) bool { return len(t.Ends(fingerprint)) >= Threshold }
+// Suspect reports whether enough endpoints have ended under a request.
+func (t *Table) Suspect(fingerprint uint64) bool { return len(t.Ends(fingerprint)) >= t.threshold }
 
-// Suspects returns the number of suspects.
-func (t *Table) Suspects() int {
-	n := 0
-	for _, r := range t.records {
-		if r.Suspect() {
-			n++
+// Get returns the record of a request and whether there is one.
+func (t *Table) Get(fingerprint uint64) (Record, bool) {
+	r := t.records[fingerprint]
+	if r == nil {
+		return Record{}, false
+	}
+	return r.copy(), true
+}
+
+// All returns the records of the requests under which endpoints have ended.
+func (t *Table) All() []Record {
+	var out []Record
+	for _, f := range t.order {
+		if r := t.records[f]; len(r.Ends) > 0 {
+			out = append(out, r.copy())
 		}
 	}
-	return n
+	return out
 }
 
 // AddEnd records an end that this instance observed and reports whether it
@@ -120,7 +123,7 @@
 	if r == nil {
 		return nil
 	}
-	if r.Suspect() {
+	if t.Suspect(fingerprint) {
 		t.markChanged(fingerprint)
 	}
 	return r.complete(at)
@@ -164,9 +167,7 @@
 func (t *Table) add(fingerprint uint64, e End) bool {
 	r := t.records[fingerprint]
 	if r == nil {
-		if r = t.insert(fingerprint); r == nil {
-			return false
-		}
+		r = t.insert(fingerprint)
 	}
 	if r.Completed && e.At <= r.CompletedAt {
 		return false
@@ -184,11 +185,10 @@
 	return true
 }
 
-// insert returns a new record, or nil if the table is full of records with more
-// evidence.
+// insert returns a new record. A full table drops another one.
 func (t *Table) insert(fingerprint uint64) *Record {
-	if len(t.records) >= maxRequests && !t.evict() {
-		return nil
+	if len(t.records) >= t.limit {
+		t.evict()
 	}
 	r := &Record{Fingerprint: fingerprint}
 	r.CompletedAt, r.Completed = t.completions.at[fingerprint]
@@ -197,17 +197,16 @@
 	return r
 }
 
-// evict removes the oldest record with at most one end and reports whether
-// there was one.
-func (t *Table) evict() bool {
+// evict removes the oldest of the records with the fewest ends.
+func (t *Table) evict() {
+	least := 0
 	for k, f := range t.order {
-		if len(t.records[f].Ends) <= 1 {
-			delete(t.records, f)
-			t.removeFromOrder(k)
-			return true
+		if len(t.records[f].Ends) < len(t.records[t.order[least]].Ends) {
+			least = k
 		}
 	}
-	return false
+	delete(t.records, t.order[least])
+	t.removeFromOrder(least)
 }
 
 func (t *Table) removeFromOrder(k int) {
--- a/internal/crash/table_test.go
+++ b/internal/crash/table_test.go
@@ -8,6 +8,13 @@
 	"pgregory.net/rapid"
 )
 
+const (
+	threshold = 3
+	limit     = 4096
+)
+
+func newTable() *Table { return NewTable(threshold, limit) }
+
 func ends(t *Table, f uint64) map[Incarnation]bool {
 	out := map[Incarnation]bool{}
 	for _, e := range t.Ends(f) {
@@ -21,7 +28,7 @@
 func TestMergeIsUnion(t *testing.T) {
 	var tables []*Table
 	for n := range 3 {
-		table := NewTable()
+		table := newTable()
 		must.True(t, table.AddEnd(7, Incarnation(n), time.Second))
 		must.False(t, table.AddEnd(7, Incarnation(n), 2*time.Second))
 		tables = append(tables, table)
@@ -38,19 +45,19 @@
 	for _, table := range tables {
 		must.True(t, table.Suspect(7))
 		must.Len(t, 3, table.Ends(7))
-		must.Eq(t, 1, table.Suspects())
+		must.Len(t, 1, table.All())
 	}
 }
 
 // Guards against a healthy request that stays refused although it completed
 // after the endpoints had ended.
 func TestCompletionOutweighsEarlierEnds(t *testing.T) {
-	table, other := NewTable(), NewTable()
-	for n := range Threshold {
+	table, other := newTable(), newTable()
+	for n := range threshold {
 		table.AddEnd(7, Incarnation(n), time.Second)
 		other.AddEnd(7, Incarnation(n), time.Second)
 	}
-	must.Len(t, Threshold, table.AddCompletion(7, 2*time.Second))
+	must.Len(t, threshold, table.AddCompletion(7, 2*time.Second))
 	must.False(t, table.Suspect(7))
 	for _, r := range other.Next(1) {
 		must.SliceEmpty(t, table.Merge(r, 3*time.Second))
@@ -66,9 +73,9 @@
 
 // Guards against ends that are heard of only after the request completed here.
 func TestRecentCompletionOutweighsEndsReportedLater(t *testing.T) {
-	table := NewTable()
+	table := newTable()
 	table.AddCompletion(7, 2*time.Second)
-	for n := range Threshold {
+	for n := range threshold {
 		table.Merge(Record{Fingerprint: 7, Ends: []End{{Endpoint: Incarnation(n), At: time.Second}}}, 3*time.Second)
 	}
 	must.SliceEmpty(t, table.Ends(7))
@@ -78,7 +85,7 @@
 
 // Guards against evidence that is never reported because others fill the report.
 func TestEveryRecordIsReportedInTurn(t *testing.T) {
-	table := NewTable()
+	table := newTable()
 	for f := range uint64(40) {
 		table.AddEnd(f, 1, 0)
 	}
@@ -97,24 +104,24 @@
 // Guards against a table that is full of requests with a single end and takes
 // no further evidence, and against one that grows without limit.
 func TestFullTableDropsOldestWithLeastEvidence(t *testing.T) {
-	table := NewTable()
-	for n := range Threshold {
+	table := newTable()
+	for n := range threshold {
 		table.AddEnd(0, Incarnation(n), 0)
 	}
-	for f := uint64(1); f < maxRequests+10; f++ {
+	for f := uint64(1); f < limit+10; f++ {
 		must.True(t, table.AddEnd(f, 1, 0))
 	}
-	must.MapLen(t, maxRequests, table.records)
-	must.Len(t, maxRequests, table.order)
+	must.MapLen(t, limit, table.records)
+	must.Len(t, limit, table.order)
 	must.True(t, table.Suspect(0))
-	must.Len(t, 1, table.Ends(maxRequests+9))
+	must.Len(t, 1, table.Ends(limit+9))
 }
 
 func neverRefuted(End) bool { return false }
 
 // Guards against an endpoint that lives on and still counts as ended.
 func TestRefutedEndsAreRemoved(t *testing.T) {
-	table := NewTable()
+	table := newTable()
 	table.AddEnd(7, 1, 0)
 	table.AddEnd(7, 2, 0)
 	table.Expire(time.Second, func(e End) bool { return e.Endpoint == 1 })
@@ -122,7 +129,7 @@
 }
 
 func TestEndsExpire(t *testing.T) {
-	table := NewTable()
+	table := newTable()
 	table.AddEnd(7, 1, 0)
 	table.AddEnd(7, 2, time.Minute)
 	table.Expire(Retention, neverRefuted)
@@ -138,7 +145,7 @@
 // with different delays agree on the ends that count.
 func TestTablesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		tables := []*Table{NewTable(), NewTable(), NewTable()}
+		tables := []*Table{newTable(), newTable(), newTable()}
 		index := rapid.IntRange(0, len(tables)-1)
 		now := Time(time.Hour)
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
--- a/internal/reducer/crash.go
+++ b/internal/reducer/crash.go
@@ -1,10 +1,13 @@
 package reducer
 
 import (
-	"sort"
+	"slices"
+	"strconv"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+	"google.golang.org/protobuf/proto"
 )
 
 // Crash constants.
@@ -12,19 +15,11 @@
 	// refuseAfterCrashes is the number of crashes after which a request with
 	// the fingerprint is refused.
 	refuseAfterCrashes = 2
-	// suspectTTL is how long a fingerprint stays a suspect after its last crash.
-	suspectTTL = 10 * time.Minute
 	// crashWindow is how long broken runs of an endpoint are kept for evidence
 	// that the endpoint itself went down.
 	crashWindow = 3 * time.Second
 )
 
-// suspect counts the crashes of endpoints during runs with one fingerprint.
-type suspect struct {
-	crashes   int
-	expiresAt Instant
-}
-
 // crashEvidence collects the runs of one endpoint that broke within a
 // crashWindow.
 type crashEvidence struct {
@@ -32,6 +27,11 @@
 	brokenAt           Instant
 	// crashCounted reports whether the current outage is already attributed.
 	crashCounted bool
+	// brokenProcess is the start of the endpoint's process when the runs broke.
+	// outages counts the outages before the current one that began while that
+	// process was the latest known.
+	brokenProcess uint64
+	outages       int
 }
 
 // updateCrashEvidence evaluates the end of a run. A single broken connection is
@@ -42,8 +42,7 @@
 		s.endpointUnreachable(e)
 	case r.GetCrashed():
 		if s.now.Sub(e.brokenAt) > crashWindow {
-			e.brokenFingerprints = nil
-			e.crashCounted = false
+			e.beginOutage()
 		}
 		e.brokenAt = s.now
 		if g != nil && g.fingerprint != 0 {
@@ -58,27 +57,59 @@
 	case r.GetDispatched():
 		e.unreachableUntil = 0
 		if g != nil {
-			s.clearSuspect(g.fingerprint)
+			s.runCompleted(g.fingerprint)
 		}
 	}
 }
 
-// clearSuspect removes a suspect that was running during fewer crashes than
-// refuseAfterCrashes and has now run to completion.
-func (s *State) clearSuspect(f uint64) {
-	if !s.isSuspect(f) || s.suspects[f].crashes >= refuseAfterCrashes {
-		return
+// beginOutage discards the runs that broke in an earlier outage.
+func (e *endpoint) beginOutage() {
+	switch {
+	case e.brokenProcess != e.report.Started:
+		e.outages = 0
+	case e.crashCounted:
+		e.outages++
+	}
+	e.brokenProcess = e.report.Started
+	e.brokenFingerprints = nil
+	e.crashCounted = false
+}
+
+// outage identifies the current outage. Two owners that see the same one agree.
+func (e *endpoint) outage() crash.Incarnation {
+	return crash.IncarnationOf(e.name+"/"+strconv.FormatUint(e.brokenProcess, 10), int64(e.outages))
+}
+
+// runCompleted drops the crashes counted for a request that has now completed.
+func (s *State) runCompleted(f uint64) {
+	if len(s.suspects.AddCompletion(f, crash.Time(s.now))) > 0 {
+		s.broadcastCrashReport(f)
+	}
+}
+
+func (s *State) broadcastCrashReport(f uint64) {
+	if r, known := s.suspects.Get(f); known {
+		for _, p := range s.livePeers() {
+			s.sendCrashReport(p.id, r)
+		}
 	}
-	delete(s.suspects, f)
-	s.sendCrashReport(f, 0)
 }
 
-func (s *State) sendCrashReport(f uint64, crashes int) {
-	for _, p := range s.livePeers() {
-		s.send(p.id, &peerpb.Frame{Body: &peerpb.Frame_CrashReport{CrashReport: &peerpb.CrashReport{
-			Fingerprint: f, Crashes: uint32(crashes), ExpiresMs: uint32(suspectTTL / time.Millisecond),
-		}}})
+func (s *State) sendCrashReport(to Incarnation, r crash.Record) {
+	m := &peerpb.CrashReport{
+		Fingerprint: r.Fingerprint, Crashes: uint32(len(r.Ends)), ExpiresMs: uint32(crash.Retention / time.Millisecond),
+	}
+	if r.Completed {
+		m.CompletedAgeMs = proto.Uint32(s.ageMs(r.CompletedAt))
+	}
+	for _, e := range r.Ends {
+		m.Ends = append(m.Ends, &peerpb.CrashEnd{Endpoint: uint64(e.Endpoint), AgeMs: s.ageMs(e.At)})
 	}
+	s.send(to, &peerpb.Frame{Body: &peerpb.Frame_CrashReport{CrashReport: m}})
+}
+
+func (s *State) ageMs(at crash.Time) uint32 {
+	return uint32((crash.Time(s.now) - at) / time.Millisecond)
 }
 
 // endpointUnreachable handles an endpoint that cannot be reached. This is
@@ -122,73 +153,39 @@
 		if hasSuspect && !s.isSuspect(f) {
 			continue
 		}
-		s.addCrash(f)
+		s.addCrash(f, e.outage())
 	}
 	e.brokenFingerprints = e.brokenFingerprints[:0]
 }
 
-func (s *State) isSuspect(f uint64) bool {
-	x := s.suspects[f]
-	return x != nil && s.now < x.expiresAt
-}
+func (s *State) isSuspect(f uint64) bool { return len(s.suspects.Ends(f)) > 0 }
 
-func (s *State) addCrash(f uint64) {
-	x := s.suspects[f]
-	if x == nil || s.now >= x.expiresAt {
-		x = &suspect{}
-		s.suspects[f] = x
+func (s *State) addCrash(f uint64, outage crash.Incarnation) {
+	if s.suspects.AddEnd(f, outage, crash.Time(s.now)) {
+		s.broadcastCrashReport(f)
 	}
-	x.crashes++
-	x.expiresAt = s.now.Add(suspectTTL)
-	s.limitSuspects()
-	s.sendCrashReport(f, x.crashes)
 }
 
-// crashReported keeps the larger of its own and the reported count, so that a
-// repeated report changes nothing. A count of zero clears a suspect that has run
-// to completion at the sender.
-func (s *State) crashReported(r *peerpb.CrashReport) {
-	x := s.suspects[r.GetFingerprint()]
-	if r.GetCrashes() == 0 {
-		if x != nil && x.crashes < refuseAfterCrashes {
-			delete(s.suspects, r.GetFingerprint())
-		}
-		return
-	}
-	if x == nil || s.now >= x.expiresAt {
-		x = &suspect{}
-		s.suspects[r.GetFingerprint()] = x
-	}
-	x.crashes = max(x.crashes, int(r.GetCrashes()))
-	x.expiresAt = max(x.expiresAt, s.now.Add(min(suspectTTL, time.Duration(r.GetExpiresMs())*time.Millisecond)))
-	s.limitSuspects()
-}
-
-// limitSuspects removes the suspects that expire first if there are more than
-// MaxSuspects.
-func (s *State) limitSuspects() {
-	for len(s.suspects) > MaxSuspects {
-		var oldest uint64
-		var until Instant
-		for f, x := range s.suspects {
-			if oldest == 0 || x.expiresAt < until || x.expiresAt == until && f < oldest {
-				oldest, until = f, x.expiresAt
-			}
-		}
-		delete(s.suspects, oldest)
+// crashReported merges the crashes that another instance knows.
+func (s *State) crashReported(m *peerpb.CrashReport) {
+	at := func(ageMs uint32) crash.Time { return crash.Time(s.now.Add(-time.Duration(ageMs) * time.Millisecond)) }
+	r := crash.Record{Fingerprint: m.GetFingerprint(), Completed: m.CompletedAgeMs != nil, CompletedAt: at(m.GetCompletedAgeMs())}
+	for _, e := range m.GetEnds() {
+		r.Ends = append(r.Ends, crash.End{Endpoint: crash.Incarnation(e.GetEndpoint()), At: at(e.GetAgeMs())})
 	}
+	s.suspects.Merge(r, crash.Time(s.now))
 }
 
 // refusedAsSuspect reports whether requests with the fingerprint are refused.
 func (s *State) refusedAsSuspect(f uint64) bool {
-	return !s.cfg.Guards.NoCrashIsolate && s.isSuspect(f) && s.suspects[f].crashes >= refuseAfterCrashes
+	return !s.cfg.Guards.NoCrashIsolate && len(s.suspects.Ends(f)) >= refuseAfterCrashes
 }
 
 // separatesSuspects reports whether a request can run on the endpoint without
 // two suspects running there together, so that the next crash shows which of
 // them caused it.
 func (s *State) separatesSuspects(ep *endpoint, f uint64) bool {
-	if s.cfg.Guards.NoCrashIsolate || len(s.suspects) == 0 || !s.isSuspect(f) {
+	if s.cfg.Guards.NoCrashIsolate || !s.isSuspect(f) {
 		return true
 	}
 	for _, g := range ep.grants {
@@ -200,20 +197,16 @@
 }
 
 func (s *State) tickSuspects() {
-	for f, x := range s.suspects {
-		if s.now >= x.expiresAt {
-			delete(s.suspects, f)
-		}
-	}
+	s.suspects.Expire(crash.Time(s.now), func(crash.End) bool { return false })
 }
 
 // suspectFingerprints returns the sorted fingerprints of the suspects, for the
 // status page.
 func (s *State) suspectFingerprints() []uint64 {
 	var all []uint64
-	for f := range s.suspects {
-		all = append(all, f)
+	for _, r := range s.suspects.All() {
+		all = append(all, r.Fingerprint)
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	slices.Sort(all)
 	return all
 }
--- a/internal/reducer/crash_test.go
+++ b/internal/reducer/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -15,8 +16,8 @@
 	for id := range RequestID(2) {
 		s.Step(4, DispatchDone{Request: id + 1, Result: Result{}})
 	}
-	s.addCrash(501)
-	s.addCrash(502)
+	s.addCrash(501, 1)
+	s.addCrash(502, 1)
 	var granted []RequestID
 	for i, f := range []uint64{501, 502, 9} {
 		q := benchRequest(0)
@@ -29,3 +30,33 @@
 	}
 	must.Eq(t, []RequestID{3, 5}, granted)
 }
+
+// newReportedZone returns a zone whose members know the start of each endpoint.
+func newReportedZone(members int) *zone {
+	z := newZone(members, 3, Guards{})
+	z.advance(4 * time.Second)
+	z.poll()
+	z.crashFingerprints[666] = true
+	return z
+}
+
+// Guards against a crashing request that is sent on because each owner has
+// counted one crash: two equal requests crash endpoints of two owners at the
+// same time.
+func TestCrashesAtDifferentOwnersAddUp(t *testing.T) {
+	z := newReportedZone(3)
+	must.NotEq(t, z.members[0].state.endpoints["e0"].owner, z.members[0].state.endpoints["e1"].owner)
+	z.unreachable["e2"] = true
+	for range refuseAfterCrashes {
+		z.submit(z.members[0], chatRequest("gold", 666, 5*time.Second))
+	}
+	z.advance(4 * time.Second)
+	must.Eq(t, refuseAfterCrashes, z.crashCount)
+	for _, m := range z.members {
+		must.True(t, m.state.refusedAsSuspect(666), must.Sprint(m.name))
+		z.submit(m, chatRequest("gold", 666, 5*time.Second))
+	}
+	z.advance(4 * time.Second)
+	must.Eq(t, refuseAfterCrashes, z.crashCount)
+	must.EqOp(t, "", z.violation)
+}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/declared"
 	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
 	"github.com/balsamstair/balsamstair/internal/refusal"
@@ -167,7 +168,7 @@
 	lastHeldAt  Instant
 
 	buckets     map[string]*bucket
-	suspects    map[uint64]*suspect
+	suspects    *crash.Table
 	meanOutputs map[outputKey]float64
 
 	decisions *decisionLog
@@ -190,7 +191,7 @@
 		byCallerKey:     map[uint64]RequestID{},
 		records:         map[RequestID]*record{},
 		buckets:         map[string]*bucket{},
-		suspects:        map[uint64]*suspect{},
+		suspects:        crash.NewTable(refuseAfterCrashes, MaxSuspects),
 		meanOutputs:     map[outputKey]float64{},
 		decisions:       newDecisionLog(),
 		fileRequestedAt: math.MinInt64 / 2,
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -11,6 +11,11 @@
 )
 
 const (
+	// crashThreshold is the number of endpoints that must have ended under a
+	// request before it is refused.
+	crashThreshold = 3
+	// maxCrashRecords limits the number of requests for which crashes are kept.
+	maxCrashRecords = 4096
 	// unansweredRetention is how long after an attempt without a complete answer
 	// the end of its endpoint is attributed to it. The platform removes the entry
 	// of a dead endpoint after some seconds, and a new process is listed at its
@@ -37,7 +42,7 @@
 	crashExpiryInterval = time.Second
 	// loggedEnds is the number of ends from which those that others observed are
 	// logged: an end of every endpoint is logged by the instances that saw it.
-	loggedEnds = crash.Threshold - 1
+	loggedEnds = crashThreshold - 1
 )
 
 // unanswered is an attempt that ended without a complete answer. It is evidence
@@ -216,7 +221,7 @@
 // suspectFound refuses the queued requests with a fingerprint once it is a
 // suspect.
 func (s *State) suspectFound(fingerprint uint64, ends int) {
-	if ends != crash.Threshold {
+	if ends != crashThreshold {
 		return
 	}
 	s.log("crash_suspect", append([]any{"fingerprint", FormatFingerprint(fingerprint)}, s.crashBasis(fingerprint)...)...)
@@ -235,7 +240,7 @@
 // resolved yet, count if another one is known to have done so.
 func (s *State) crashSuspect(fingerprint uint64) bool {
 	ends := len(s.crashes.Ends(fingerprint))
-	return ends >= crash.Threshold || ends > 0 && ends+s.unresolvedAt(fingerprint) >= crash.Threshold
+	return ends >= crashThreshold || ends > 0 && ends+s.unresolvedAt(fingerprint) >= crashThreshold
 }
 
 // unresolvedAt returns the number of endpoints at which a request's connection
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -297,7 +297,7 @@
 // whether the third one has ended.
 func TestRetryWaitsForNoProbeOnceTwoEndpointsEnded(t *testing.T) {
 	i := newServingInstance(t, 9, 4)
-	for range crash.Threshold - 1 {
+	for range crashThreshold - 1 {
 		i.breakAttempt(666)
 		i.answerProbes(ProbeRefused)
 	}
--- a/internal/scheduler/request_test.go
+++ b/internal/scheduler/request_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/balsamstair/balsamstair/internal/routing"
 	"github.com/shoenig/test/must"
@@ -115,7 +114,7 @@
 		}
 		i.advance(3 * time.Second)
 	}
-	must.Eq(t, crash.Threshold, crashed)
+	must.Eq(t, crashThreshold, crashed)
 	got := i.refusal(i.arrive(route("r", 0), crashing))
 	must.Eq(t, CrashSuspect, got.Reason)
 	must.True(t, got.NotRun)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -104,7 +104,7 @@
 		requests:       map[RequestID]*request{},
 		quotas:         map[string]*bucket{},
 		incarnations:   map[crash.Incarnation]*endpoint{},
-		crashes:        crash.NewTable(),
+		crashes:        crash.NewTable(crashThreshold, maxCrashRecords),
 		zonesReached:   map[string]Instant{},
 		withUnanswered: map[crash.Incarnation]*endpoint{},
 	}
