Crashing requests in callers' mode: new instances learn of them

What callers saw (module test): an instance that had started after the crashes sent the request to a third endpoint once the instances that knew of them were gone.

Cause: crashes were reported to the peers of that moment only. Change: a new peer receives all records. Evidence: TestInstanceThatStartsLaterKnowsCrashingRequests failed before (three crashes).

--- a/internal/reducer/crash.go
+++ b/internal/reducer/crash.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// sendSuspectsTo informs a new peer of all suspects.
+func (s *State) sendSuspectsTo(to Incarnation) {
+	for _, r := range s.suspects.All() {
+		s.sendCrashReport(to, r)
+	}
+}
+
 func (s *State) sendCrashReport(to Incarnation, r crash.Record) {
 	m := &peerpb.CrashReport{
 		Fingerprint: r.Fingerprint, Crashes: uint32(len(r.Ends)), ExpiresMs: uint32(crash.Retention / time.Millisecond),
--- a/internal/reducer/crash_test.go
+++ b/internal/reducer/crash_test.go
@@ -60,3 +60,26 @@
 	must.Eq(t, refuseAfterCrashes, z.crashCount)
 	must.EqOp(t, "", z.violation)
 }
+
+// Guards against a crashing request that is sent on by an instance that started
+// after the crashes, once the instances that counted them are gone.
+func TestInstanceThatStartsLaterKnowsCrashingRequests(t *testing.T) {
+	z := newReportedZone(2)
+	for range 4 {
+		z.submit(z.members[0], chatRequest("gold", 666, 5*time.Second))
+		z.advance(4 * time.Second)
+	}
+	must.Eq(t, refuseAfterCrashes, z.crashCount)
+	late := z.start("i2")
+	z.advance(4 * time.Second)
+	for _, m := range z.members[:2] {
+		z.kill(m)
+	}
+	z.publishInstances()
+	z.advance(10 * time.Second)
+	z.poll()
+	z.submit(late, chatRequest("gold", 666, 5*time.Second))
+	z.advance(4 * time.Second)
+	must.Eq(t, refuseAfterCrashes, z.crashCount)
+	must.EqOp(t, "", z.violation)
+}
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -108,6 +108,7 @@
 	s.recomputeOwners()
 	s.sendHeartbeat(p)
 	s.sendHeldTo(p.id)
+	s.sendSuspectsTo(p.id)
 }
 
 // peerDown marks a peer suspected at once, because a closed session carries no
