Crashing requests in callers' mode: queued ones are declined

What callers saw (module test): a queued request was granted a slot although equal requests had crashed two endpoints since it was queued.

Cause: as in routed mode, the decision was made when the request arrived at its owner and not repeated. Change: an owner declines the queued requests with a fingerprint as soon as it is refused. Evidence: TestQueuedRequestIsRefusedOnceItIsSuspect of the reducer failed before (request 3 was granted a slot).

--- a/internal/reducer/crash.go
+++ b/internal/reducer/crash.go
@@ -7,6 +7,7 @@
 
 	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+	"github.com/balsamstair/balsamstair/internal/refusal"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -170,6 +171,22 @@
 func (s *State) addCrash(f uint64, outage crash.Incarnation) {
 	if s.suspects.AddEnd(f, outage, crash.Time(s.now)) {
 		s.broadcastCrashReport(f)
+		s.declineSuspect(f)
+	}
+}
+
+// declineSuspect declines the queued requests with a fingerprint if it is
+// refused.
+func (s *State) declineSuspect(f uint64) {
+	if !s.refusedAsSuspect(f) {
+		return
+	}
+	for _, p := range s.poolOrder {
+		for _, e := range sortedEntries(p) {
+			if e.fingerprint == f {
+				s.decline(e, refusal.CrashSuspect, 0)
+			}
+		}
 	}
 }
 
@@ -180,7 +197,9 @@
 	for _, e := range m.GetEnds() {
 		r.Ends = append(r.Ends, crash.End{Endpoint: crash.Incarnation(e.GetEndpoint()), At: at(e.GetAgeMs())})
 	}
-	s.suspects.Merge(r, crash.Time(s.now))
+	if len(s.suspects.Merge(r, crash.Time(s.now))) > 0 {
+		s.declineSuspect(r.Fingerprint)
+	}
 }
 
 // refusedAsSuspect reports whether requests with the fingerprint are refused.
--- a/internal/reducer/crash_test.go
+++ b/internal/reducer/crash_test.go
@@ -1,9 +1,12 @@
 package reducer
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/peer/peerpb"
+	"github.com/balsamstair/balsamstair/internal/refusal"
 	"github.com/shoenig/test/must"
 )
 
@@ -83,3 +86,26 @@
 	must.Eq(t, refuseAfterCrashes, z.crashCount)
 	must.EqOp(t, "", z.violation)
 }
+
+// Guards against a queued request that is granted a slot although equal requests
+// have crashed two endpoints since it was queued.
+func TestQueuedRequestIsRefusedOnceItIsSuspect(t *testing.T) {
+	s, running := loadedState(1, 0)
+	q := benchRequest(0)
+	q.Fingerprint = 501
+	const waiter = Waiter(100)
+	s.Step(4, RequestArrived{Request: q, Waiter: waiter})
+	report := &peerpb.CrashReport{Fingerprint: 501, Ends: []*peerpb.CrashEnd{{Endpoint: 1}, {Endpoint: 2}}}
+	var refused []refusal.Reason
+	effects := slices.Clone(s.Step(5, PeerMessage{From: 2, Frame: &peerpb.Frame{Body: &peerpb.Frame_CrashReport{CrashReport: report}}}))
+	for _, e := range append(effects, s.Step(6, DispatchDone{Request: running[0], Result: Result{Ended: EndedComplete}})...) {
+		switch e := e.(type) {
+		case Refuse:
+			must.Eq(t, waiter, e.Waiter)
+			refused = append(refused, e.Refused.Reason)
+		case Connect:
+			t.Fatalf("request %d was granted a slot", e.Request)
+		}
+	}
+	must.Eq(t, []refusal.Reason{refusal.CrashSuspect}, refused)
+}
