Crashing requests: a report that adds several ends, and slower removals

Cause, found by reading: a report that raised the ends of a request from two to four skipped the step at which queued requests are refused; each refused connection postponed its own confirmation; an entry may be listed for longer than 6.1 s after a crash when reads are stale, so an end could be refuted wrongly. Change: the step is taken when the threshold is passed; the first refusal counts; the removal has 4 s to reach an instance in place of 2.5 s. The line of a recorded crash names the endpoint's incarnation, by which other instances list it. Evidence: TestReportWithMoreEndsThanNeededMakesSuspect failed before (request not refused).

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -29,10 +29,11 @@
 	maxReportedCrashes = 4
 	maxNoticedCrashes  = 32
 	// missedHeartbeats is the number of heartbeats without which the platform
-	// removes an endpoint's entry. entryDelay covers the way of the change to this
-	// instance.
+	// removes an endpoint's entry. entryDelay is the time in which the removal
+	// reaches this instance: reads may be three seconds stale, and a watch may
+	// wait for one.
 	missedHeartbeats = 3
-	entryDelay       = 2500 * time.Millisecond
+	entryDelay       = 4 * time.Second
 	// pathProofDelay and pathProofWindow bound the time after a refused connection
 	// in which something must be heard from the endpoint's zone. What arrives
 	// before the delay may have been sent before a partition began.
@@ -140,7 +141,9 @@
 		s.endpointEnded(e, ConnectionRefused)
 		return
 	}
-	e.refusedAt = s.now
+	if e.refusedAt == 0 || s.now.Sub(e.refusedAt) > pathProofWindow {
+		e.refusedAt = s.now
+	}
 	s.withUnanswered[e.incarnation()] = e
 }
 
@@ -202,13 +205,14 @@
 
 // recordCrash records that e ended while it ran a request.
 func (s *State) recordCrash(e *endpoint, u unanswered) {
+	before := len(s.crashes.Ends(u.fingerprint))
 	if !s.crashes.AddEnd(u.fingerprint, e.incarnation(), crash.Time(u.at)) {
 		return
 	}
 	s.count(CounterCrashes, "observed")
-	ends := len(s.crashes.Ends(u.fingerprint))
-	s.log("crash_recorded", "request", u.request, "fingerprint", FormatFingerprint(u.fingerprint), "endpoint", e.ID, "ends", ends)
-	s.suspectFound(u.fingerprint, ends)
+	s.log("crash_recorded", "request", u.request, "fingerprint", FormatFingerprint(u.fingerprint), "endpoint", e.ID,
+		"incarnation", fmt.Sprintf("%x", uint64(e.incarnation())), "ends", before+1)
+	s.endsAdded(u.fingerprint, before)
 }
 
 // requestCompleted records that a request did not crash its endpoint.
@@ -218,10 +222,10 @@
 	}
 }
 
-// suspectFound refuses the queued requests with a fingerprint once it is a
-// suspect.
-func (s *State) suspectFound(fingerprint uint64, ends int) {
-	if ends != crashThreshold {
+// endsAdded refuses the queued requests with a fingerprint if the ends added to
+// the given number have made it a suspect.
+func (s *State) endsAdded(fingerprint uint64, before int) {
+	if before >= crashThreshold || !s.crashes.Suspect(fingerprint) {
 		return
 	}
 	s.log("crash_suspect", append([]any{"fingerprint", FormatFingerprint(fingerprint)}, s.crashBasis(fingerprint)...)...)
@@ -330,13 +334,11 @@
 				r.Ends = append(r.Ends, end)
 			}
 		}
-		ends := len(s.crashes.Ends(c.Fingerprint))
+		before := len(s.crashes.Ends(c.Fingerprint))
 		for _, e := range s.crashes.Merge(r, crash.Time(s.now)) {
 			s.endReported(c.Fingerprint, e)
 		}
-		if after := len(s.crashes.Ends(c.Fingerprint)); after != ends {
-			s.suspectFound(c.Fingerprint, after)
-		}
+		s.endsAdded(c.Fingerprint, before)
 	}
 }
 
