Spend: the past accrues at the rate that was in force

What operators saw (module test): after an instance had left the list, or a file with a higher budget was adopted, the time since the last request of an organisation accrued at the new, higher rate: more could be spent than declared.

Cause: accrueAll ran after the list or the file had been replaced. Change: it runs before. Evidence: TestAllowanceAccruesAtRateThatWasInForce failed before (10,000 micros in place of 5,000, for both).

--- a/internal/reducer/adoption.go
+++ b/internal/reducer/adoption.go
@@ -23,6 +23,7 @@
 		}
 		return
 	}
+	s.accrueAll()
 	s.file = ev.File
 	s.manifest, s.parts = ev.Manifest, ev.Parts
 	s.tierRank = make(map[string]int, len(s.file.Tiers))
@@ -32,7 +33,6 @@
 	s.count(CounterFilesAdopted, "", 1)
 	s.log("file_adopted", "source", ev.Source, "revision", s.file.Revision)
 	s.emit(FileAdopted{File: s.file, Source: ev.Source})
-	s.accrueAll()
 	s.rebuildEndpoints()
 	s.checkReady()
 	s.announceFile()
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -208,6 +208,7 @@
 // only to discover peers: an instance that is missing from it or marked leaving
 // may still hold requests, and one that is on it may be dead.
 func (s *State) instancesListed(list []Instance) {
+	s.accrueAll()
 	s.listedInstances = s.listedInstances[:0]
 	for _, i := range list {
 		if i.AvailabilityZone == s.cfg.AvailabilityZone {
@@ -216,7 +217,6 @@
 	}
 	sort.Slice(s.listedInstances, func(i, j int) bool { return s.listedInstances[i].Name < s.listedInstances[j].Name })
 	s.instancesKnown = true
-	s.accrueAll()
 	s.connectListedPeers()
 }
 
--- a/internal/reducer/spend.go
+++ b/internal/reducer/spend.go
@@ -27,7 +27,7 @@
 	lenderIndex  int
 }
 
-// accrueAll accrues the allowance of every bucket up to now. It runs when the
+// accrueAll accrues the allowance of every bucket up to now. It runs before the
 // declared file or the list of instances changes, since both set the rate.
 func (s *State) accrueAll() {
 	for name := range s.buckets {
