Peer TLS: the certificate that was read last is kept

What operators saw (module test): after a rotation, and while the files were being replaced again, sessions used the certificate that was read at the start, which may have expired.

Cause: the fallback was the pair read by TLSConfig. Change: each pair that was read becomes the fallback. Evidence: TestTLSConfigKeepsLastReadCertificate failed before.

--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"os"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,7 +18,7 @@
 // files: the certificate and key of the instance, and the certificates of the
 // accepted CAs. Both sides must present a certificate for TLSName. The
 // certificate and key are read again at each handshake, so that new files take
-// effect without a restart; while they cannot be read, those read by TLSConfig
+// effect without a restart; while they cannot be read, those that were read last
 // are used. It returns an error if any of the files is unusable when it is
 // called.
 func TLSConfig(certFile, keyFile, caFile string) (*tls.Config, error) {
@@ -33,11 +34,13 @@
 	if !caPool.AppendCertsFromPEM(caPEM) {
 		return nil, errors.Newf("peer: CA certificates: no certificate in %s", caFile)
 	}
+	var latest atomic.Pointer[tls.Certificate]
+	latest.Store(&initial)
 	load := func() *tls.Certificate {
 		if c, err := tls.LoadX509KeyPair(certFile, keyFile); err == nil {
-			return &c
+			latest.Store(&c)
 		}
-		return &initial
+		return latest.Load()
 	}
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -45,3 +45,21 @@
 	_, err = c.GetCertificate(nil)
 	must.NoError(t, err)
 }
+
+// Guards against an old certificate, perhaps an expired one, that comes back
+// while the files of a later one are being replaced.
+func TestTLSConfigKeepsLastReadCertificate(t *testing.T) {
+	a := peertest.NewCA(t)
+	cert, key, ca := a.WriteFiles(t, TLSName)
+	c, err := TLSConfig(cert, key, ca)
+	must.NoError(t, err)
+	newCert, newKey, _ := a.WriteFiles(t, TLSName)
+	must.NoError(t, os.Rename(newCert, cert))
+	must.NoError(t, os.Rename(newKey, key))
+	rotated, err := c.GetCertificate(nil)
+	must.NoError(t, err)
+	must.NoError(t, os.Remove(key))
+	kept, err := c.GetClientCertificate(nil)
+	must.NoError(t, err)
+	must.Eq(t, rotated.Certificate[0], kept.Certificate[0])
+}
