Crashing requests: leaving instances learn of them

Cause: an instance that leaves is removed from the members at once, and only members are sent reports and notices, while it serves for as long as the grace time. Change: the report of a leaving instance is answered with crashes.

Evidence: TestLeavingInstanceLearnsOfCrashes failed before.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -296,14 +296,19 @@
 // sendCrashNotice sends the crashes that this instance has observed since the
 // last notice to all others at once. Complete reports repeat them.
 func (s *State) sendCrashNotice() {
-	changed := s.crashes.TakeChanged(maxNoticedCrashes)
-	if len(changed) == 0 || len(s.members.byAddress) == 0 {
+	s.sendCrashes(s.members.addresses(), s.crashes.TakeChanged(maxNoticedCrashes))
+}
+
+// sendCrashes sends records to other instances. An instance that leaves, but
+// still serves open connections, receives them in reply to its reports.
+func (s *State) sendCrashes(to []string, records []crash.Record) {
+	if len(to) == 0 || len(records) == 0 {
 		return
 	}
 	s.members.sequence++
-	s.emit(SendReport{To: s.members.addresses(), Report: Report{
+	s.emit(SendReport{To: to, Report: Report{
 		Incarnation: s.cfg.Incarnation, Sequence: s.members.sequence, Address: s.cfg.Address, Partial: true,
-		Crashes: s.crashReport(changed),
+		Crashes: s.crashReport(records),
 	}})
 }
 
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -281,6 +281,25 @@
 	}
 }
 
+// Guards against a stopped instance that serves its open connections for seconds
+// and sends a crashing request on: nobody reports to a member that has left.
+func TestLeavingInstanceLearnsOfCrashes(t *testing.T) {
+	i := newServingInstance(t, 3, 4)
+	report := Report{Incarnation: 9, Sequence: 1, Address: "10.0.0.9:1", Leaving: true}
+	i.step(PeerReported{Report: report})
+	for range crashThreshold {
+		i.breakAttempt(666)
+		i.answerProbes(ProbeRefused)
+	}
+	i.reports = nil
+	report.Sequence++
+	i.step(PeerReported{Report: report})
+	must.Len(t, 1, i.reports)
+	must.Eq(t, []string{report.Address}, i.reports[0].To)
+	must.True(t, i.reports[0].Report.Partial)
+	must.Len(t, crashThreshold, i.reports[0].Report.Crashes[0].Ends)
+}
+
 // Guards against a suspect that is missed because one report brings more ends
 // than are needed, and against queued requests that stay queued then.
 func TestReportWithMoreEndsThanNeededMakesSuspect(t *testing.T) {
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -205,6 +205,7 @@
 	}
 	if r.Leaving {
 		s.memberLeft(x)
+		s.sendCrashes([]string{r.Address}, s.crashes.Next(maxReportedCrashes))
 		return
 	}
 	newlyConnected := !m.contacted
