Scheduler: the ends of endpoints in a file of their own

Cause: one file held two concepts: how an instance finds out that an endpoint has ended, and which requests are refused for it.

--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -169,21 +169,6 @@
 	}
 }
 
-// addressTaken applies the listing of a process to those that were listed at its
-// address before. If it is the same process, its entry was only missing for a
-// time.
-func (s *State) addressTaken(entry directory.Endpoint) {
-	incarnation := crash.IncarnationOf(entry.ID, entry.Started)
-	for key, e := range s.withUnanswered {
-		switch {
-		case key == incarnation:
-			delete(s.withUnanswered, key)
-		case e.Address == entry.Address:
-			s.endpointEnded(e, EndpointReplaced)
-		}
-	}
-}
-
 func (s *State) removeEndpoint(e *endpoint) {
 	e.removed = true
 	delete(s.endpoints, e.ID)
