Scheduler: simulations of crashes run in parallel

Cause: the package took minutes under the race detector beside load. Change: sizes of the same test run in parallel; checks, seeds and bounds as before.

--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -24,6 +24,7 @@
 	for _, size := range []struct{ instances, engines, slots int }{{6, 18, 10}, {84, 90, 6}} {
 		for _, attempts := range []int{1, 2} {
 			t.Run(fmt.Sprintf("%d instances, %d attempts", size.instances, attempts), func(t *testing.T) {
+				t.Parallel()
 				f := newSimulation(size.instances, 4, size.engines, size.slots)
 				f.crashes = newSimCrashes(666)
 				f.advance(3 * time.Second)
@@ -371,21 +372,24 @@
 func TestCrashingRequestIsBoundedThroughFaults(t *testing.T) {
 	sizes := []struct{ instances, engines, slots, seeds int }{{6, 18, 10, 30}, {12, 18, 10, 15}, {84, 90, 6, 1}}
 	for _, size := range sizes {
-		for seed := range uint64(size.seeds) {
-			f := newSimulation(size.instances, 4, size.engines, size.slots)
-			f.rand = rand.New(rand.NewPCG(seed, uint64(size.instances)))
-			f.crashes = newSimCrashes(666)
-			f.advance(3 * time.Second)
-			f.repeatCrashingRequest(1+f.rand.IntN(2), 50*time.Millisecond+time.Duration(f.rand.Int64N(int64(1500*time.Millisecond))))
-			f.injectFaults(700*time.Millisecond, 12*time.Second)
-			f.runLoad(0.1*float64(size.engines*size.slots)/simServiceTime.Seconds(), 18*time.Second)
-			late := f.crashes.sendsAfter(crashesAllowed, simContact)
-			if late > 0 || seed < 2 {
-				t.Logf("%d instances, seed %d: %d sends, %d engines ended, %d late sends", size.instances, seed,
-					len(f.crashes.sends), len(f.crashes.crashedAt), late)
+		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(size.seeds) {
+				f := newSimulation(size.instances, 4, size.engines, size.slots)
+				f.rand = rand.New(rand.NewPCG(seed, uint64(size.instances)))
+				f.crashes = newSimCrashes(666)
+				f.advance(3 * time.Second)
+				f.repeatCrashingRequest(1+f.rand.IntN(2), 50*time.Millisecond+time.Duration(f.rand.Int64N(int64(1500*time.Millisecond))))
+				f.injectFaults(700*time.Millisecond, 12*time.Second)
+				f.runLoad(0.1*float64(size.engines*size.slots)/simServiceTime.Seconds(), 18*time.Second)
+				late := f.crashes.sendsAfter(crashesAllowed, simContact)
+				if late > 0 || seed < 2 {
+					t.Logf("%d instances, seed %d: %d sends, %d engines ended, %d late sends", size.instances, seed,
+						len(f.crashes.sends), len(f.crashes.crashedAt), late)
+				}
+				must.GreaterEq(t, crashesAllowed, len(f.crashes.crashedAt), must.Sprint(seed))
+				must.LessEq(t, lateSendsAllowed, late, must.Sprint(seed))
 			}
-			must.GreaterEq(t, crashesAllowed, len(f.crashes.crashedAt), must.Sprint(seed))
-			must.LessEq(t, lateSendsAllowed, late, must.Sprint(seed))
-		}
+		})
 	}
 }
