Crashing requests in callers' mode: a second crash of an endpoint counts

Cause: since crashes are a set, an outage has an identity. An endpoint that was back and crashed again within the crash window of 3 s, or before its new start was reported, kept the identity of its first outage, and the second crash was not added. Change: a run that was granted after the crash was counted belongs to another outage.

Evidence: TestSecondCrashOfSameEndpointCounts failed before, for a reported and an unreported start.

--- a/internal/reducer/crash.go
+++ b/internal/reducer/crash.go
@@ -26,8 +26,10 @@
 type crashEvidence struct {
 	brokenFingerprints []uint64
 	brokenAt           Instant
-	// crashCounted reports whether the current outage is already attributed.
+	// crashCounted reports whether the current outage is already attributed, and
+	// countedAt since when. A run that was granted later belongs to another outage.
 	crashCounted bool
+	countedAt    Instant
 	// brokenProcess is the start of the endpoint's process when the runs broke.
 	// outages counts the outages before the current one that began while that
 	// process was the latest known.
@@ -42,7 +44,8 @@
 	case r.GetFailed() && !r.GetDispatched():
 		s.endpointUnreachable(e)
 	case r.GetCrashed():
-		if s.now.Sub(e.brokenAt) > crashWindow {
+		grantedSince := e.crashCounted && g != nil && g.grantedAt > e.countedAt
+		if s.now.Sub(e.brokenAt) > crashWindow || grantedSince {
 			e.beginOutage()
 		}
 		e.brokenAt = s.now
@@ -144,6 +147,7 @@
 	if !e.crashCounted {
 		s.count(CounterCrashes, "", 1)
 		s.log("endpoint_crash", "endpoint", e.name, "running", len(e.brokenFingerprints))
+		e.countedAt = s.now
 	}
 	e.crashCounted = true
 	s.attributeCrash(e)
--- a/internal/reducer/crash_test.go
+++ b/internal/reducer/crash_test.go
@@ -109,3 +109,38 @@
 	}
 	must.Eq(t, []refusal.Reason{refusal.CrashSuspect}, refused)
 }
+
+// Guards against a second crash of the same endpoint that is taken for the first
+// one: the endpoint is back and crashes again within a crashWindow.
+func TestSecondCrashOfSameEndpointCounts(t *testing.T) {
+	for _, reported := range []bool{true, false} {
+		s, running := loadedState(1, 0)
+		for _, id := range running {
+			s.Step(4, DispatchDone{Request: id, Result: Result{Ended: EndedComplete}})
+		}
+		now := Instant(4)
+		for n := range refuseAfterCrashes {
+			q := benchRequest(0)
+			q.Fingerprint = 666
+			var id RequestID
+			for _, e := range s.Step(now, RequestArrived{Request: q, Waiter: Waiter(100 + n)}) {
+				if c, ok := e.(Connect); ok {
+					id = c.Request
+				}
+			}
+			must.Positive(t, id)
+			s.Step(now, ConnectDone{Request: id, Endpoint: "e0", OK: true})
+			s.Step(now, DispatchDone{Request: id, Result: Result{Ended: EndedBroken}})
+			s.Step(now, EndpointReported{Endpoint: "e0", Report: EndpointReport{Unreachable: true}})
+			now = now.Add(crashWindow / 3)
+			report := EndpointReport{Started: 1}
+			if reported {
+				report.Started += uint64(n) + 1
+			}
+			s.Step(now, EndpointReported{Endpoint: "e0", Report: report})
+			now = now.Add(crashWindow / 3)
+			s.Step(now, Tick{})
+		}
+		must.True(t, s.refusedAsSuspect(666), must.Sprint(reported))
+	}
+}
