Endpoints: rate limits in answers are read, logged and counted

Change: the adapter translates the header, the gateway reports it with the head of each answer, and the scheduler logs each change as endpoint_limit and counts statements. No decision uses it yet. Values that are no rate are counted as malformed; of several the lowest counts.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/balsamstair/balsamstair/internal/scheduler"
 )
 
 // RequestInfo is the information in the headers of a caller's request.
@@ -49,6 +50,10 @@
 	// Misdirected is set if the address belongs to another endpoint, which did
 	// not run the request.
 	Misdirected bool
+	// Limit is the endpoint's rate limit. LimitMalformed is set if the answer has
+	// one that can't be read; it then neither names nor lifts a limit.
+	Limit          scheduler.RateLimit
+	LimitMalformed bool
 }
 
 // Dialect translates between HTTP headers and the types of this package.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -143,6 +143,7 @@
 		return x.sendFailure(err)
 	}
 	info := x.h.cfg.Dialect.ParseAnswer(answer.Status, answer.Header)
+	x.reportLimit(info, d)
 	a := scheduler.Attempt{}
 	switch {
 	case info.Misdirected:
@@ -159,6 +160,19 @@
 	return a
 }
 
+// reportLimit tells the scheduler what the head of an answer says about the
+// endpoint's rate limit. An answer without one is only of interest while a
+// limit is in force.
+func (x *exchange) reportLimit(info AnswerInfo, d scheduler.Dispatch) {
+	switch {
+	case info.Misdirected:
+	case info.LimitMalformed:
+		x.h.cfg.Counters.Add(string(scheduler.CounterLimitStatements), "malformed", 1)
+	case info.Limit.Named || d.Limited:
+		x.h.post(scheduler.AnswerReceived{ID: x.id, Limit: info.Limit})
+	}
+}
+
 func (x *exchange) endpointCall(d scheduler.Dispatch) endpoint.Call {
 	info := ForwardInfo{Remaining: time.Until(x.deadline), Endpoint: d.Endpoint, LastEventID: x.events.lastID}
 	if x.org != nil {
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -21,6 +21,9 @@
 		Attempt int
 		// Waited is the time the request was queued before this dispatch.
 		Waited time.Duration
+		// Limited is set if the endpoint limits the rate of requests. AnswerReceived
+		// must follow once the head of the answer was received.
+		Limited bool
 		// LogFields holds the inputs of the decision as alternating keys and values for
 		// the log.
 		LogFields []any
@@ -133,4 +136,7 @@
 	// reported.
 	CounterEndpointEnds Counter = "routed_endpoint_ends_total"
 	CounterCrashes      Counter = "routed_crashes_total"
+	// CounterLimitStatements counts what endpoints said about their rate limits,
+	// by observed, reported or malformed.
+	CounterLimitStatements Counter = "routed_limit_statements_total"
 )
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -84,6 +84,10 @@
 	relativeLatency float64
 	// failureRate is the moving average of failed attempts.
 	failureRate float64
+	// limit is the rate limit that the endpoint last stated, at the time
+	// limitStatedAt.
+	limit         RateLimit
+	limitStatedAt Instant
 }
 
 func (e *endpoint) updateSlots(t *routing.Table) {
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -85,6 +85,14 @@
 	Refused bool
 }
 
+// RateLimit is what an answer says about the number of requests per second that
+// its endpoint takes from all instances together.
+type RateLimit struct {
+	// Named is set if the answer names a limit.
+	Named     bool
+	PerSecond float64
+}
+
 // ProbeResult is the result of a ProbeEndpoint effect.
 type ProbeResult int
 
@@ -112,6 +120,12 @@
 	CallerGone struct{ ID RequestID }
 	// AnswerStarted reports that the first event of a stream was received.
 	AnswerStarted struct{ ID RequestID }
+	// AnswerReceived reports the head of an endpoint's answer if it names a rate
+	// limit, or if the request was dispatched while one was in force.
+	AnswerReceived struct {
+		ID    RequestID
+		Limit RateLimit
+	}
 	// AttemptEnded reports that an attempt started by Dispatch has ended.
 	AttemptEnded struct {
 		ID      RequestID
@@ -139,6 +153,7 @@
 func (Arrived) event()        {}
 func (CallerGone) event()     {}
 func (AnswerStarted) event()  {}
+func (AnswerReceived) event() {}
 func (AttemptEnded) event()   {}
 func (DirectoryRead) event()  {}
 func (EndpointProbed) event() {}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -120,7 +120,7 @@
 	r.prefilling = true
 	s.loadChanged(e)
 	s.emit(Dispatch{
-		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued),
+		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued), Limited: e.limit.Named,
 		LogFields: []any{"endpoint_load", e.load(), "endpoint_slots", e.slots, "endpoint_backlog_tokens", e.backlog(),
 			"waiting", len(s.pool(r.Service).waiting)},
 	})
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -124,6 +124,8 @@
 		s.callerGone(ev.ID)
 	case AnswerStarted:
 		s.answerStarted(ev.ID)
+	case AnswerReceived:
+		s.answerReceived(ev.ID, ev.Limit)
 	case AttemptEnded:
 		s.attemptEnded(ev.ID, ev.Attempt)
 	case DirectoryRead:
