--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -36,6 +36,8 @@
 	serviceTime time.Duration
 	// crashes is the part of the simulation in which requests crash engines.
 	crashes *simCrashes
+	// limits is the part in which engines name rate limits.
+	limits *simLimits
 }
 
 type simInstance struct {
@@ -67,6 +69,8 @@
 	incarnation uint64
 	id          RequestID
 	sent        Instant
+	// limited is set if the answer's head must be reported.
+	limited bool
 }
 
 type simEvent struct {
@@ -185,7 +189,7 @@
 		switch e := e.(type) {
 		case SendReport:
 			for _, to := range e.To {
-				if other := f.byAddress[to]; other != nil && f.connected(i.zone, other.zone) {
+				if other := f.byAddress[to]; other != nil && f.connected(i.zone, other.zone) && !f.limits.lost(f) {
 					f.after(simDelay, func() { f.step(other, PeerReported{Report: e.Report}) })
 				}
 			}
@@ -194,12 +198,13 @@
 			if e.Endpoint.Zone != i.zone {
 				f.crossZone++
 			}
-			job := simJob{i, i.incarnation, e.ID, f.now}
+			job := simJob{i, i.incarnation, e.ID, f.now, e.Limited}
 			f.crashes.dispatched(f, job)
 			f.after(simDelay, func() { f.arriveAtEngine(f.engines[e.Endpoint.ID], job) })
 		case Refuse:
 			f.refused++
 			f.crashes.refused(e.Reason)
+			f.limits.refused(f, i, e)
 			f.crashes.finished(i, e.ID)
 		default:
 			f.crashes.apply(f, i, e)
@@ -220,6 +225,7 @@
 }
 
 func (f *simulation) arriveAtEngine(e *simEngine, job simJob) {
+	f.limits.arrived(f, e, job)
 	switch {
 	case !f.connected(e.zone, job.at.zone):
 		f.crashes.unreachable(f, e, job)
@@ -238,6 +244,7 @@
 	if f.crashes.crashed(f, e, job) {
 		return
 	}
+	f.limits.answer(f, e, job)
 	f.stepJob(job, AnswerStarted{ID: job.id})
 	f.after(time.Duration(f.rand.ExpFloat64()*float64(f.serviceTime)), func() {
 		if e.down {
@@ -260,13 +267,13 @@
 	f.engineWaits, f.refused, f.dispatches, f.crossZone = nil, 0, 0, 0
 	var arrive func()
 	end := f.now.Add(d)
-	r := route("r", 0)
 	arrive = func() {
 		if f.now >= end {
 			return
 		}
 		n := int(math.Sqrt(f.rand.Float64()) * float64(len(f.instances)))
 		f.nextID++
+		r := f.limits.route(f, f.instances[n])
 		f.step(f.instances[n], Arrived{Request: Request{
 			ID: f.nextID, Name: "r", Version: 1, Route: r, Service: service, Fingerprint: f.crashes.fingerprint(f.nextID), PromptTokens: 2000, Tokens: 2100,
 			Organisation:   &f.instances[n].s.table.Organisations()[f.nextID%16],
