Endpoints that limit the rate of requests: one owner issues permits

What callers and operators saw: an endpoint in need that named a limit of 1.8 requests a second got 20 and 21 in 4 s, 16 are allowed.

Cause: no instance read the limit; and a limit for all instances together can't be kept by each one for itself. Change: what an endpoint says about its limit is spread to all instances by a notice and by reports, the newest statement wins, and of two whose order is unknown the lower one. One instance of the endpoint's zone, chosen by rendezvous hashing, owns the limit: a token bucket of which the others ask for permits, each valid for 300 ms from its issue at the latest. Requests without a permit go to other endpoints. If all endpoints of a service have limits, the least urgent requests are refused at once, with a Retry-After from the sum of the limits.

Why it works: only one bucket issues what arrives, and a permit that is late or lost is never used.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -39,6 +39,10 @@
 	for _, c := range r.Crashes {
 		m.Crashes = append(m.Crashes, encodeCrash(c))
 	}
+	for _, l := range r.Limits {
+		m.Limits = append(m.Limits, encodeLimit(l))
+	}
+	encodePermits(r, m)
 	return proto.Marshal(m)
 }
 
@@ -97,5 +101,13 @@
 	for _, c := range m.GetCrashes() {
 		r.Crashes = append(r.Crashes, decodeCrash(c))
 	}
+	for _, l := range m.GetLimits() {
+		limit, err := decodeLimit(l)
+		if err != nil {
+			return scheduler.Report{}, err
+		}
+		r.Limits = append(r.Limits, limit)
+	}
+	decodePermits(m, &r)
 	return r, nil
 }
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -22,6 +23,13 @@
 			{Fingerprint: 98, Completed: true, CompletedAge: 0},
 			{Fingerprint: 97, Completed: true, CompletedAge: 3 * time.Second, Ends: []scheduler.CrashEnd{{Endpoint: 7, Age: time.Second}}},
 		},
+		Limits: []scheduler.LimitStatement{
+			{Endpoint: 8, Limit: scheduler.RateLimit{Named: true, PerSecond: 1.4}, SentAge: 30 * time.Millisecond, ReceivedAge: 20 * time.Millisecond},
+			{Endpoint: 9, Limit: scheduler.RateLimit{Named: true}},
+			{Endpoint: 10, SentAge: time.Second},
+		},
+		Asks:   []scheduler.PermitAsk{{Endpoint: 8, Number: 4, Wanted: 3, Returned: 1, Urgency: 70000}},
+		Grants: []scheduler.PermitGrant{{Endpoint: 8, Ask: 4, Number: 17, Permits: 2, Queued: 40 * time.Millisecond}},
 	}
 }
 
@@ -40,6 +48,28 @@
 	}
 }
 
+// Guards against a datagram that takes the process down or stops traffic to an
+// endpoint with a limit or a number of permits that no instance sends.
+func TestDecodeBoundsLimitsAndPermits(t *testing.T) {
+	for _, rate := range []float64{-1, math.NaN(), math.Inf(1)} {
+		r := testReport()
+		r.Limits[0].Limit.PerSecond = rate
+		datagram, err := encode(r)
+		must.NoError(t, err)
+		_, err = decode(datagram)
+		must.Error(t, err)
+	}
+	r := testReport()
+	r.Asks[0].Wanted, r.Asks[0].Returned, r.Grants[0].Permits = 1<<30, 1<<30, 1<<30
+	datagram, err := encode(r)
+	must.NoError(t, err)
+	got, err := decode(datagram)
+	must.NoError(t, err)
+	must.Eq(t, maxPermits, got.Asks[0].Wanted)
+	must.Eq(t, maxPermits, got.Asks[0].Returned)
+	must.Eq(t, maxPermits, got.Grants[0].Permits)
+}
+
 func TestReportIsReceivedAfterInvalidDatagram(t *testing.T) {
 	got := make(chan scheduler.Report, 1)
 	receiver := New(Config{Address: "127.0.0.1:0", Received: func(r scheduler.Report) { got <- r }, Log: logline.Discard()})
--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -57,6 +57,9 @@
 	}
 	s.endpointsChanged = false
 	s.reachableInstances = reachable
+	if !s.leaving {
+		s.assignPermitOwners()
+	}
 	sameZone, _ := splitByZone(reachable, s.cfg.Zone)
 	s.planReads(addressesOf(sameZone))
 	if s.largeSystem() {
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -108,11 +108,9 @@
 	if len(to) == 0 || len(records) == 0 {
 		return
 	}
-	s.members.sequence++
-	s.emit(SendReport{To: to, Report: Report{
-		Incarnation: s.cfg.Incarnation, Sequence: s.members.sequence, Address: s.cfg.Address, Partial: true,
-		Crashes: s.crashReport(records),
-	}})
+	report := s.partialReport()
+	report.Crashes = s.crashReport(records)
+	s.emit(SendReport{To: to, Report: report})
 }
 
 // crashReport returns records with the ages of what they contain.
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -104,6 +104,9 @@
 	QueueDelay Reason = "queue_delay"
 	// EndpointsFull means that endpoints rejected the request.
 	EndpointsFull Reason = "endpoints_full"
+	// LimitReached means that all endpoints limit the rate of requests and that
+	// more urgent requests use it up.
+	LimitReached Reason = "limit_reached"
 	// CrashSuspect means that endpoints have ended while they ran equal requests.
 	CrashSuspect Reason = "crash_suspect"
 	// AttemptsUsed means that the route allows no further attempt.
@@ -119,7 +122,7 @@
 // Reasons returns the complete list of reasons.
 func Reasons() []Reason {
 	return []Reason{ConfigUnknown, ConfigStale, QuotaExceeded, NoEndpoint, QueueDelay, EndpointsFull,
-		CrashSuspect, AttemptsUsed, RetryBudgetUsed, NotRepeatable, DeadlinePassed}
+		LimitReached, CrashSuspect, AttemptsUsed, RetryBudgetUsed, NotRepeatable, DeadlinePassed}
 }
 
 // Counter is the name of a counter.
@@ -139,4 +142,9 @@
 	// CounterLimitStatements counts what endpoints said about their rate limits,
 	// by observed, reported or malformed.
 	CounterLimitStatements Counter = "routed_limit_statements_total"
+	// CounterPermits counts permits for endpoints with rate limits by what became
+	// of them. CounterLimited counts requests for which such an endpoint had no
+	// permit: those sent to another endpoint, and those that were queued.
+	CounterPermits Counter = "routed_permits_total"
+	CounterLimited Counter = "routed_limited_requests_total"
 )
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -84,10 +84,8 @@
 	relativeLatency float64
 	// failureRate is the moving average of failed attempts.
 	failureRate float64
-	// limit is the rate limit that the endpoint last stated, at the time
-	// limitStatedAt.
-	limit         RateLimit
-	limitStatedAt Instant
+	// limit is the rate limit that the endpoint named, or nil if it named none.
+	limit *endpointLimit
 }
 
 func (e *endpoint) updateSlots(t *routing.Table) {
@@ -178,6 +176,7 @@
 	delete(s.endpoints, e.ID)
 	delete(s.incarnations, e.incarnation())
 	s.endpointsChanged = true
+	s.limitRemoved(e)
 	s.pool(e.Service).remove(e)
 }
 
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -178,7 +178,7 @@
 	Zone string
 	// Age is the time since the sender started.
 	Age time.Duration
-	// Partial marks a report that contains only changed loads or new crashes.
+	// Partial marks a report that contains only changes, asks or grants.
 	Partial bool
 	// WithoutLoads marks a report that omits Loads although the sender may have
 	// some.
@@ -198,6 +198,11 @@
 	Loads   []EndpointLoad
 	// Crashes lists some of the requests under which endpoints ended.
 	Crashes []Crash
+	// Limits lists some of the rate limits that endpoints named or lifted.
+	Limits []LimitStatement
+	// Asks and Grants concern the permits for endpoints with rate limits.
+	Asks   []PermitAsk
+	Grants []PermitGrant
 }
 
 // Usage is the sender's admitted cost for one organisation.
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -41,17 +41,14 @@
 // instances that share endpoints: each would fill a slot that another has just
 // taken.
 func (s *State) sendLoadUpdates() {
-	m := &s.members
 	for _, e := range s.changedLoads {
 		if e.ownRunning == e.sentLoad || e.removed {
 			continue
 		}
 		e.sentLoad = e.ownRunning
-		m.sequence++
-		s.emit(SendReport{To: e.sharers, Report: Report{
-			Incarnation: s.cfg.Incarnation, Sequence: m.sequence, Address: s.cfg.Address, Partial: true,
-			Loads: []EndpointLoad{{Endpoint: e.ID, Running: e.ownRunning, Prefill: e.ownPrefill}},
-		}})
+		report := s.partialReport()
+		report.Loads = []EndpointLoad{{Endpoint: e.ID, Running: e.ownRunning, Prefill: e.ownPrefill}}
+		s.emit(SendReport{To: e.sharers, Report: report})
 	}
 	s.changedLoads = s.changedLoads[:0]
 }
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -192,6 +192,8 @@
 		return
 	}
 	s.mergeCrashes(r.Crashes, r.Address)
+	s.mergeLimits(r.Limits, r.Address)
+	s.applyPermitMessages(r)
 	x := m.byAddress[r.Address]
 	if x != nil && x.incarnation == r.Incarnation && r.Sequence <= x.sequence {
 		return
@@ -206,6 +208,7 @@
 	if r.Leaving {
 		s.memberLeft(x)
 		s.sendCrashes([]string{r.Address}, s.crashes.Next(maxReportedCrashes))
+		s.sendLimits([]string{r.Address}, s.limits)
 		return
 	}
 	newlyConnected := !m.contacted
@@ -244,6 +247,7 @@
 	}
 	s.members.byAddress[r.Address] = x
 	s.members.membershipChanged()
+	s.sendLimits([]string{r.Address}, s.limits)
 	s.log("instance_joined", "address", r.Address, "incarnation", r.Incarnation, "age_ms", r.Age.Milliseconds())
 	return x
 }
@@ -255,6 +259,7 @@
 	s.clearLoads(x)
 	delete(s.members.byAddress, x.address)
 	s.members.membershipChanged()
+	s.nextAssignment = s.now
 	s.log("instance_left", "address", x.address, "incarnation", x.incarnation)
 }
 
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -15,6 +15,10 @@
 	waiting      []*request
 	latencyMeans map[latencyKey]float64
 	budget       budget
+	// arrivals and dispatches are moving averages of this instance's requests.
+	// lastArrival is when the last one arrived.
+	arrivals, dispatches demand
+	lastArrival          Instant
 	// sinceLowestRank counts the dispatches since a request of the lowest waiting
 	// rank was dispatched out of order.
 	sinceLowestRank int
@@ -28,7 +32,7 @@
 func (s *State) pool(service string) *pool {
 	p := s.pools[service]
 	if p == nil {
-		p = &pool{service: service, latencyMeans: map[latencyKey]float64{}}
+		p = &pool{service: service, latencyMeans: map[latencyKey]float64{}, lastArrival: never}
 		s.pools[service] = p
 		s.poolOrder = append(s.poolOrder, p)
 	}
@@ -80,10 +84,14 @@
 	// adds a millisecond of latency.
 	crossZoneCost = 2.5
 	// nonPreferredCost is added to the cost of an endpoint of the own zone that
-	// is preferred by another instance, in the same unit. Instances of a zone
+	// is preferred by another instance, in the same unit, unless permits already
+	// keep the instances apart. Instances of a zone
 	// then use different endpoints while there is capacity, and each knows the
 	// load of its own endpoints best.
 	nonPreferredCost = 1.0
+	// limitedLoadWeight is the weight of the load of an endpoint for which a
+	// permit is held. A permit that is not used at once is lost.
+	limitedLoadWeight = 0.25
 	// unassignedSlotMargin is the number of slots left free at an endpoint that
 	// is not assigned to this instance. It covers requests sent by several
 	// instances at the same moment, each of which sees the last slot as free.
@@ -169,7 +177,7 @@
 func (s *State) chooseAmong(p *pool, r *request, unassigned bool) (best *endpoint, found bool) {
 	bestCost := 0.0
 	for _, e := range p.endpoints {
-		if e.unassigned != unassigned || !s.usable(e) || r.hasTried(e) {
+		if e.unassigned != unassigned || !s.usable(e) || r.hasTried(e) || e.limited() && !e.hasPermit(s.now) {
 			continue
 		}
 		found = true
@@ -185,11 +193,15 @@
 }
 
 func (s *State) placementCost(e *endpoint, load int) float64 {
-	cost := (float64(load+1)/float64(e.slots) + float64(e.backlog())/fullBacklogTokens) * e.relativeLatency
+	counted := float64(load)
+	if e.limited() {
+		counted *= limitedLoadWeight
+	}
+	cost := ((counted+1)/float64(e.slots) + float64(e.backlog())/fullBacklogTokens) * e.relativeLatency
 	switch {
 	case e.Zone != s.cfg.Zone:
 		cost += crossZoneCost / float64(e.slots)
-	case !e.preferred:
+	case !e.preferred && !e.limited():
 		cost += nonPreferredCost / float64(e.slots)
 	}
 	// Random noise keeps instances with the same view from choosing the same
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -109,6 +109,7 @@
 		Usage:         s.usageReport(),
 		Loads:         s.loadReport(),
 		Crashes:       s.crashReport(s.crashes.Next(maxReportedCrashes)),
+		Limits:        s.limitReport(),
 	}
 	if s.table != nil {
 		report.Version = s.table.Version()
@@ -116,6 +117,13 @@
 	return report
 }
 
+// partialReport returns a report without content, to which the caller adds
+// changes.
+func (s *State) partialReport() Report {
+	s.members.sequence++
+	return Report{Incarnation: s.cfg.Incarnation, Sequence: s.members.sequence, Address: s.cfg.Address, Partial: true}
+}
+
 // memberSample returns addresses of reachable members, a different selection at
 // each call.
 func (s *State) memberSample() []string {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -53,6 +53,8 @@
 	r := &request{Request: q, arrived: s.now, queued: s.now}
 	s.count(CounterArrivals, q.Service)
 	p := s.pool(q.Service)
+	p.lastArrival = s.now
+	p.arrivals.add(1)
 	p.budget.recordRequest(s.now)
 	if reason, retry := s.admit(r, p); reason != "" {
 		s.refuse(r, reason, retry)
@@ -66,6 +68,7 @@
 	s.requests[r.ID] = r
 	p.enqueue(r)
 	s.dispatchWaiting(p)
+	s.shedLimited(p)
 }
 
 // admit returns the reason to refuse a new request, or an empty one, and the
@@ -118,9 +121,14 @@
 	e.ownRunning++
 	e.ownPrefill += r.PromptTokens
 	r.prefilling = true
+	s.pool(r.Service).dispatches.add(1)
 	s.loadChanged(e)
+	if e.limited() {
+		s.usePermit(e)
+	}
+	s.countPassedOver(r)
 	s.emit(Dispatch{
-		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued), Limited: e.limit.Named,
+		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued), Limited: e.limited(),
 		LogFields: []any{"endpoint_load", e.load(), "endpoint_slots", e.slots, "endpoint_backlog_tokens", e.backlog(),
 			"waiting", len(s.pool(r.Service).waiting)},
 	})
@@ -298,16 +306,27 @@
 func (s *State) expireQueued() {
 	for _, p := range s.poolOrder {
 		var expired []*request
+		rate, limited := 0.0, len(p.waiting) > 0 && s.allLimited(p)
+		if limited {
+			rate = s.limitedRate(p)
+		}
 		for _, r := range p.waiting {
-			if s.now >= r.queueDeadline() {
+			deadline := r.queueDeadline(maxQueueTime(r.Route.Target))
+			if limited {
+				deadline = r.queueDeadline(r.limitedWait(rate))
+			}
+			if s.now >= deadline {
 				expired = append(expired, r)
 			}
 		}
 		for _, r := range expired {
 			p.dequeue(r)
 			reason := QueueDelay
-			if s.now >= r.Deadline {
+			switch {
+			case s.now >= r.Deadline:
 				reason = DeadlinePassed
+			case limited:
+				reason = LimitReached
 			}
 			s.refuseHeld(r, reason)
 		}
@@ -317,9 +336,9 @@
 // queueDeadline returns the time at which the request leaves the queue. A
 // request that may have run, or whose answer has started, can only wait for
 // another endpoint until its deadline.
-func (r *request) queueDeadline() Instant {
+func (r *request) queueDeadline(maxWait time.Duration) Instant {
 	if r.mayHaveRun {
 		return r.Deadline
 	}
-	return min(r.Deadline, r.arrived.Add(maxQueueTime(r.Route.Target)))
+	return min(r.Deadline, r.arrived.Add(maxWait))
 }
--- a/internal/scheduler/simulation_limit_test.go
+++ b/internal/scheduler/simulation_limit_test.go
@@ -26,6 +26,8 @@
 	refusals  []simRefusal
 	// perPriority counts the requests by priority.
 	perPriority map[int]int
+	// permits are the sums of CounterPermits.
+	permits map[string]int64
 }
 
 // simArrival is a request that reached an engine, and when its sender was last
@@ -59,6 +61,7 @@
 	return &simLimits{
 		named: map[string]float64{}, namedAt: map[string]Instant{}, arrivals: map[string][]simArrival{},
 		priorities: []int{0}, submitted: map[simRequest]simSubmitted{}, perPriority: map[int]int{},
+		permits: map[string]int64{},
 	}
 }
 
@@ -112,6 +115,12 @@
 	return route(fmt.Sprint("r", priority), priority)
 }
 
+func (l *simLimits) counted(c Counted) {
+	if l != nil && c.Counter == CounterPermits {
+		l.permits[c.Label] += c.Delta
+	}
+}
+
 func (l *simLimits) refused(f *simulation, i *simInstance, r Refuse) {
 	if l == nil {
 		return
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -206,6 +206,8 @@
 			f.crashes.refused(e.Reason)
 			f.limits.refused(f, i, e)
 			f.crashes.finished(i, e.ID)
+		case Counted:
+			f.limits.counted(e)
 		default:
 			f.crashes.apply(f, i, e)
 		}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -86,8 +86,16 @@
 	// loadsRefreshedAt is when the loads of shared endpoints were last sent again
 	// regardless of changes.
 	loadsRefreshedAt Instant
-	leaving          bool
-	ready            bool
+	// limits holds the endpoints that have named a rate limit, in the order in
+	// which this instance learned of it. limitCursor is the index of the next one
+	// to be reported, changedLimits those to be sent in a notice.
+	limits        []*endpoint
+	limitCursor   int
+	changedLimits []*endpoint
+	// permitsSent is the number of grants that this instance has made.
+	permitsSent uint64
+	leaving     bool
+	ready       bool
 }
 
 // New returns the state of a process that starts now, without configuration or
@@ -138,11 +146,14 @@
 		s.endpointProbed(ev)
 	case StopRequested:
 		s.leaving = true
+		s.assignPermitOwners()
 		s.sendCrashNotice()
+		s.sendLimitNotice()
 		s.sendReports(s.members.addresses())
 	case Tick:
 		s.tick()
 	}
+	s.updatePermits()
 	s.sendLoadUpdates()
 	s.updateReady()
 	return s.effects
@@ -161,6 +172,7 @@
 	for _, p := range s.poolOrder {
 		s.dispatchWaiting(p)
 	}
+	s.tickLimits()
 	s.sendCrashNotice()
 	s.sendDueReports()
 	s.refreshLoads()
