--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -141,6 +141,9 @@
 	}
 	changed := added || e.Leaving != entry.Leaving
 	e.Endpoint = entry
+	if added {
+		s.restoreLimit(e)
+	}
 	e.lapsedAt = 0
 	e.updateSlots(s.table)
 	s.pool(entry.Service).add(e)
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -173,3 +173,5 @@
 	must.True(i.t, ok, must.Sprintf("request %d was not refused", id))
 	return r
 }
+
+func testConfiguration() routing.Config { return routing.Config{Version: 1} }
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -146,17 +146,41 @@
 	s.slowStart(e)
 }
 
-// limitRemoved forgets the limit of an endpoint that was removed.
+// limitRemoved ends the use of the limit of an endpoint that was removed. The
+// platform may list the same process again.
 func (s *State) limitRemoved(e *endpoint) {
 	if e.limit == nil {
 		return
 	}
 	s.limits = slices.DeleteFunc(s.limits, func(x *endpoint) bool { return x == e })
+	if e.limit.Named {
+		s.removedLimits[e.incarnation()] = removedLimit{e.limit.statement, s.now}
+	}
 	e.limit = nil
 }
 
-// expireLimits forgets limits that were lifted some time ago.
+// removedLimit is the limit of an endpoint whose entry was removed at a time.
+type removedLimit struct {
+	statement
+	removed Instant
+}
+
+// restoreLimit puts the limit of a process that is listed again in force.
+func (s *State) restoreLimit(e *endpoint) {
+	if r, known := s.removedLimits[e.incarnation()]; known {
+		delete(s.removedLimits, e.incarnation())
+		s.applyStatement(e, r.statement)
+	}
+}
+
+// expireLimits forgets limits that were lifted, or whose endpoint was removed,
+// some time ago.
 func (s *State) expireLimits() {
+	for key, r := range s.removedLimits {
+		if s.now.Sub(r.removed) > liftedRetention {
+			delete(s.removedLimits, key)
+		}
+	}
 	s.limits = slices.DeleteFunc(s.limits, func(e *endpoint) bool {
 		expired := !e.limit.Named && s.now.Sub(e.limit.received) > liftedRetention
 		if expired {
@@ -238,9 +262,6 @@
 		p.arrivals.update(s.now)
 		p.dispatches.update(s.now)
 	}
-	if len(s.limits) == 0 {
-		return
-	}
 	s.expireLimits()
 	for _, e := range s.limits {
 		if e.limit.Named && e.limit.owner == s.cfg.Address {
--- a/internal/scheduler/permit_holder.go
+++ b/internal/scheduler/permit_holder.go
@@ -164,14 +164,12 @@
 	switch {
 	case wanted == 0 && h.open == 0:
 		return false
-	case h.owner != e.limit.owner, since >= askIntervalFor(s.instancesUsing(e)):
+	case h.owner != e.limit.owner, since >= askIntervalFor(s.instancesUsing(e)), wanted > 0 && urgency < h.asked.Urgency:
 		return true
 	case since < minAskInterval:
 		return false
-	case wanted == 0, h.open == 0:
-		return true
 	}
-	return wanted > h.open || urgency != h.asked.Urgency
+	return wanted == 0 || h.open == 0 || wanted > h.open || urgency != h.asked.Urgency
 }
 
 // wantedPermits returns how many permits for e this instance can use, and the
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -92,6 +92,8 @@
 	limits        []*endpoint
 	limitCursor   int
 	changedLimits []*endpoint
+	// removedLimits holds the limits of endpoints whose entries were removed.
+	removedLimits map[crash.Incarnation]removedLimit
 	// permitsSent is the number of grants that this instance has made.
 	permitsSent uint64
 	leaving     bool
@@ -115,6 +117,7 @@
 		crashes:        crash.NewTable(crashThreshold, maxCrashRecords),
 		zonesReached:   map[string]Instant{},
 		withUnanswered: map[crash.Incarnation]*endpoint{},
+		removedLimits:  map[crash.Incarnation]removedLimit{},
 	}
 	s.members = newMembers(cfg, now)
 	return s
