Directory: a platform that comes back from a copy is listed once

What operators saw (in trials of their own): after the platform came back from a copy, an instance listed it again and again without a pause, a relay handed out entries of the lost history, and a poll that began after the new history had passed the old revision missed changes.

Cause: a revision was taken for a position; a copy gives revisions out again. Change: a position is an era and a revision, in the adapter, the watcher, the replica and between instances. A higher era in any answer, also in a refusal, leads to one listing; an answer of a lower one is ignored; a listing that repeatedly becomes necessary backs off. A replica drops what it read in another history but the configuration, which only a newer version replaces.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,6 +16,24 @@
 // available, so that a full listing is needed.
 var ErrCompacted = errors.New("directory: history since the revision is gone")
 
+// Errors of reads whose answer belongs to another history than the one read
+// before.
+var (
+	// ErrNewHistory means that the platform has come back from a copy, so that a
+	// full listing is needed.
+	ErrNewHistory = errors.New("directory: the platform's history was replaced")
+	// ErrOldHistory means that the answer is older than what was read before.
+	ErrOldHistory = errors.New("directory: answer is from before the last read")
+)
+
+// Position is a point in the platform's history.
+type Position struct {
+	// Era is the number of the history. It increases when the platform comes back
+	// from a copy, which gives revisions out again. Zero means not stated.
+	Era      int64
+	Revision int64
+}
+
 // Endpoint is one entry of the list of endpoints.
 type Endpoint struct {
 	ID      string
@@ -51,6 +69,8 @@
 // Batch is the result of one read.
 type Batch struct {
 	Changes []Change
+	// Era is the era of the answer, also of one that failed; zero if not stated.
+	Era int64
 	// Revision is the revision from which the next read continues.
 	Revision int64
 	// Age is how far the data was out of date when the read began. It is zero
@@ -63,7 +83,7 @@
 type Source interface {
 	// List returns everything that is published.
 	List(ctx context.Context) (Batch, error)
-	// Watch returns the changes after a revision, waiting at most wait for
+	// Watch returns the changes after a position, waiting at most wait for
 	// one. It returns ErrCompacted if those changes are no longer available.
-	Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error)
+	Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error)
 }
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -12,8 +13,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// relayPath is the HTTP path of RelayHandler.
-const relayPath = "/directory"
+// relayPath is the HTTP path of RelayHandler. relayEraHeader contains the era of
+// the data in answers that refuse a read.
+const (
+	relayPath      = "/directory"
+	relayEraHeader = "Directory-Era"
+)
 
 const (
 	// maxRelayWait bounds how long the handler holds a poll open.
@@ -44,13 +49,19 @@
 			http.Error(w, "after is not a revision", http.StatusBadRequest)
 			return
 		}
+		era, err := strconv.ParseInt(cmp.Or(q.URL.Query().Get("era"), "0"), 10, 64)
+		if err != nil {
+			http.Error(w, "era is not a number", http.StatusBadRequest)
+			return
+		}
 		ms, err := strconv.ParseInt(q.URL.Query().Get("wait_ms"), 10, 64)
 		if err != nil || ms < 0 {
 			http.Error(w, "wait_ms is not a time", http.StatusBadRequest)
 			return
 		}
 		wait := min(time.Duration(ms)*time.Millisecond, maxRelayWait)
-		batch, age, err := r.Watch(q.Context(), requestedAt, after, wait)
+		batch, age, err := r.Watch(q.Context(), requestedAt, Position{Era: era, Revision: after}, wait)
+		w.Header().Set(relayEraHeader, strconv.FormatInt(batch.Era, 10))
 		switch {
 		case errors.Is(err, ErrCompacted):
 			http.Error(w, err.Error(), http.StatusGone)
@@ -72,17 +83,18 @@
 }
 
 // List implements Source.
-func (r *Relay) List(ctx context.Context) (Batch, error) { return r.get(ctx, 0, 0) }
+func (r *Relay) List(ctx context.Context) (Batch, error) { return r.get(ctx, Position{}, 0) }
 
 // Watch implements Source. Batch.Age is how far the data was out of date when
 // the call began.
-func (r *Relay) Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (r *Relay) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	return r.get(ctx, after, wait)
 }
 
-func (r *Relay) get(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (r *Relay) get(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	query := url.Values{
-		"after":   {strconv.FormatInt(after, 10)},
+		"after":   {strconv.FormatInt(after.Revision, 10)},
+		"era":     {strconv.FormatInt(after.Era, 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	target := url.URL{Scheme: "http", Host: r.Address, Path: relayPath, RawQuery: query.Encode()}
@@ -102,7 +114,9 @@
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusGone:
-		return Batch{}, ErrCompacted
+		// A header that is no number states no era.
+		era, _ := strconv.ParseInt(response.Header.Get(relayEraHeader), 10, 64)
+		return Batch{Era: max(era, 0)}, ErrCompacted
 	default:
 		return Batch{}, errors.Newf("relay answered %d", response.StatusCode)
 	}
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -21,7 +21,8 @@
 	hasListing bool
 	// compactRevision is the revision before which deletions are not retained.
 	compactRevision int64
-	revision        int64
+	// era and revision are the position of the data.
+	era, revision int64
 	// confirmedAt is the time as of which the data is known to be current:
 	// when the most recent successful read began.
 	confirmedAt int64
@@ -53,6 +54,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if u.NewHistory || u.Batch.Era > r.era {
+		r.replaceHistory(u.Batch.Era)
+	}
 	if u.Full {
 		r.removeUnlisted(u.Batch)
 	}
@@ -66,8 +70,25 @@
 	r.changed = make(chan struct{})
 }
 
+// replaceHistory drops what was read in an earlier history, whose revisions mean
+// nothing in the new one. The configuration stays until a newer version arrives.
+func (r *Replica) replaceHistory(era int64) {
+	config, known := r.entries[""]
+	r.entries = map[string]Change{}
+	if known {
+		config.Revision = 0
+		r.entries[""] = config
+	}
+	r.tombstones = nil
+	r.era, r.revision, r.compactRevision = era, 0, 0
+}
+
 func (r *Replica) apply(c Change) {
-	if !c.relevant() || c.Revision < r.entries[c.key()].Revision {
+	known := r.entries[c.key()]
+	if !c.relevant() || c.Revision < known.Revision {
+		return
+	}
+	if c.Config != nil && known.Config != nil && c.Config.Version < known.Config.Version {
 		return
 	}
 	if c.Config != nil || c.Endpoint != nil {
@@ -98,16 +119,16 @@
 	}
 }
 
-// Watch returns the changes after a revision, and how far they were out of
+// Watch returns the changes after a position, and how far they were out of
 // date at requestedAt, the time of the call by the clock of the updates. It
 // waits for at most wait until a read that began at or after requestedAt has
 // succeeded or a newer revision is available.
-func (r *Replica) Watch(ctx context.Context, requestedAt, after int64, wait time.Duration) (Batch, time.Duration, error) {
+func (r *Replica) Watch(ctx context.Context, requestedAt int64, after Position, wait time.Duration) (Batch, time.Duration, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for waiting := true; waiting; {
 		r.mu.Lock()
-		done, changed := r.confirmedAt >= requestedAt || r.revision > after && r.hasListing, r.changed
+		done, changed := r.confirmedAt >= requestedAt || (r.revision > after.Revision || r.otherHistory(after)) && r.hasListing, r.changed
 		r.mu.Unlock()
 		if done {
 			break
@@ -123,15 +144,19 @@
 	return r.changesSince(requestedAt, after)
 }
 
-// changesSince returns the changes after a revision, or a full listing for
+// otherHistory reports whether a reader's position belongs to another era.
+func (r *Replica) otherHistory(p Position) bool { return p.Era != 0 && r.era != 0 && p.Era != r.era }
+
+// changesSince returns the changes after a position, or a full listing for
 // revision zero, and how far the data was out of date at requestedAt.
-func (r *Replica) changesSince(requestedAt, after int64) (Batch, time.Duration, error) {
+func (r *Replica) changesSince(requestedAt int64, position Position) (Batch, time.Duration, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.hasListing || after > 0 && after < r.compactRevision {
-		return Batch{}, 0, ErrCompacted
+	after := position.Revision
+	if !r.hasListing || after > 0 && (after < r.compactRevision || r.otherHistory(position)) {
+		return Batch{Era: r.era}, 0, ErrCompacted
 	}
-	batch := Batch{Revision: max(r.revision, after)}
+	batch := Batch{Era: r.era, Revision: max(r.revision, after)}
 	for _, c := range r.entries {
 		if c.Revision > after || after == 0 {
 			batch.Changes = append(batch.Changes, c)
--- a/internal/directory/replica_test.go
+++ b/internal/directory/replica_test.go
@@ -39,16 +39,16 @@
 func TestReplicaReturnsChangesSinceRevision(t *testing.T) {
 	r := newListedReplica()
 	r.Apply(Update{ReadAt: 200, Batch: Batch{Revision: 12, Changes: []Change{deleteChange("a", 11), putChange("b", 12)}}})
-	all, age, err := r.changesSince(200, 0)
+	all, age, err := r.changesSince(200, Position{Revision: 0})
 	must.NoError(t, err)
 	must.Eq(t, 0, age)
 	must.Eq(t, []int64{5, 12}, revisions(all))
-	since, _, err := r.changesSince(200, 10)
+	since, _, err := r.changesSince(200, Position{Revision: 10})
 	must.NoError(t, err)
 	must.Eq(t, []int64{11, 12}, revisions(since))
 	must.Eq(t, 12, since.Revision)
 	// A reader that is ahead of the replica keeps its revision.
-	ahead, _, err := r.changesSince(200, 20)
+	ahead, _, err := r.changesSince(200, Position{Revision: 20})
 	must.NoError(t, err)
 	must.Eq(t, 20, ahead.Revision)
 	must.SliceEmpty(t, ahead.Changes)
@@ -56,21 +56,21 @@
 
 // The age is measured from the platform read that the data comes from.
 func TestReplicaReportsAgeOfItsState(t *testing.T) {
-	_, age, err := newListedReplica().changesSince(100+int64(3*time.Second), 10)
+	_, age, err := newListedReplica().changesSince(100+int64(3*time.Second), Position{Revision: 10})
 	must.NoError(t, err)
 	must.Eq(t, 3*time.Second, age)
 }
 
 func TestReplicaWithoutHistoryReturnsErrCompacted(t *testing.T) {
-	_, _, err := NewReplica().changesSince(0, 0)
+	_, _, err := NewReplica().changesSince(0, Position{Revision: 0})
 	must.ErrorIs(t, err, ErrCompacted)
 	// Entries missing from the second listing were deleted at an unknown
 	// revision.
 	r := newListedReplica()
 	r.Apply(Update{ReadAt: 200, Full: true, Batch: Batch{Revision: 30, Changes: []Change{putChange("b", 4)}}})
-	_, _, err = r.changesSince(200, 10)
+	_, _, err = r.changesSince(200, Position{Revision: 10})
 	must.ErrorIs(t, err, ErrCompacted)
-	all, _, err := r.changesSince(200, 0)
+	all, _, err := r.changesSince(200, Position{Revision: 0})
 	must.NoError(t, err)
 	must.Eq(t, []int64{4, 5}, revisions(all))
 }
@@ -87,7 +87,7 @@
 		start := time.Now()
 		time.AfterFunc(time.Second, func() { r.Apply(Update{ReadAt: 150, Batch: Batch{Revision: 10}}) })
 		time.AfterFunc(2*time.Second, func() { r.Apply(Update{ReadAt: 300, Batch: Batch{Revision: 10}}) })
-		_, age, err := r.Watch(t.Context(), 200, 10, time.Minute)
+		_, age, err := r.Watch(t.Context(), 200, Position{Revision: 10}, time.Minute)
 		must.NoError(t, err)
 		must.Eq(t, 0, age)
 		must.Eq(t, 2*time.Second, time.Since(start))
@@ -95,7 +95,7 @@
 		time.AfterFunc(time.Second, func() {
 			r.Apply(Update{ReadAt: 310, Batch: Batch{Revision: 11, Changes: []Change{deleteChange("a", 11)}}})
 		})
-		batch, age, err := r.Watch(t.Context(), 400, 10, time.Minute)
+		batch, age, err := r.Watch(t.Context(), 400, Position{Revision: 10}, time.Minute)
 		must.NoError(t, err)
 		must.Eq(t, []int64{11}, revisions(batch))
 		must.Eq(t, 90, age)
@@ -113,7 +113,7 @@
 	must.Eq(t, []int64{3, 4, 5}, revisions(batch))
 	must.Eq(t, 1, batch.Changes[2].Config.Version)
 	must.Greater(t, 100*time.Microsecond, batch.Age)
-	_, err = relay.Watch(t.Context(), 0, -time.Second)
+	_, err = relay.Watch(t.Context(), Position{}, -time.Second)
 	must.Error(t, err)
 }
 
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -48,8 +48,12 @@
 	// for the platform.
 	From string
 	// Full is set if Batch is a full listing rather than a set of changes.
-	Full  bool
-	Batch Batch
+	Full bool
+	// NewHistory is set on the first listing after the platform has come back
+	// from a copy: what was read before may be missing in it, and what was
+	// removed before may be back.
+	NewHistory bool
+	Batch      Batch
 	// Err is the error of a failed read; Batch is then empty.
 	Err error
 }
@@ -93,8 +97,13 @@
 type Watcher struct {
 	cfg      WatcherConfig
 	listed   bool
-	revision int64
-	backoff  time.Duration
+	position Position
+	// historyReplaced is set from the discovery of a new history until it was
+	// listed. relists counts the listings that became necessary since the last
+	// successful poll.
+	historyReplaced bool
+	relists         int
+	backoff         time.Duration
 	// bypassRelayUntil is the time until which the platform is read directly,
 	// after the relay failed or was outdated.
 	bypassRelayUntil int64
@@ -116,7 +125,7 @@
 			break
 		}
 		w.cfg.Updated(update)
-		if update.Err != nil && update.From == "" && !errors.Is(update.Err, ErrCompacted) {
+		if update.Err != nil && (update.From == "" && !needsListing(update.Err) || w.relists > 1) {
 			w.waitBackoff(ctx)
 		}
 	}
@@ -153,30 +162,70 @@
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, wait+pollTimeoutSlack)
 		defer cancel()
-		update.Batch, update.Err = source.Watch(ctx, w.revision, wait)
+		update.Batch, update.Err = source.Watch(ctx, w.position, wait)
 	}
+	w.checkHistory(&update)
 	update.ReadAt -= int64(update.Batch.Age)
 	w.recordSourceOutcome(update)
 	switch {
-	case update.Err == nil:
-		w.listed = true
-		w.revision = max(w.revision, update.Batch.Revision)
-		w.backoff = 0
-	case errors.Is(update.Err, ErrCompacted):
+	case needsListing(update.Err):
 		w.listed = false
+		w.relists++
+	case update.Err != nil:
+	case update.Full:
+		update.NewHistory, w.historyReplaced = w.historyReplaced, false
+		w.listed = true
+		w.position.Revision = update.Batch.Revision
+	default:
+		w.position.Revision = max(w.position.Revision, update.Batch.Revision)
+		w.relists, w.backoff = 0, 0
 	}
 	return update
 }
 
+// needsListing reports whether a read failed because the changes since the last
+// position are not available.
+func needsListing(err error) bool {
+	return errors.Is(err, ErrCompacted) || errors.Is(err, ErrNewHistory)
+}
+
+// checkHistory compares the era of an answer, also of a failed one, with that of
+// the reads before. Only a listing can continue a replaced history: a poll from a
+// revision that the new one has reached again would omit changes.
+func (w *Watcher) checkHistory(u *Update) {
+	era := u.Batch.Era
+	switch {
+	case era == 0:
+	case w.position.Era == 0 && !w.listed:
+		w.position.Era = era
+	case era > w.position.Era:
+		w.position = Position{Era: era}
+		w.historyReplaced = true
+		if !u.Full {
+			u.Batch, u.Err = Batch{}, ErrNewHistory
+		}
+	case era < w.position.Era:
+		u.Batch, u.Err = Batch{}, ErrOldHistory
+	}
+	if u.Err != nil || !u.Full || u.Batch.Revision >= w.position.Revision {
+		return
+	}
+	if u.From != "" {
+		u.Batch, u.Err = Batch{}, ErrOldHistory
+	} else {
+		w.historyReplaced = true
+	}
+}
+
 // recordSourceOutcome updates the choice of the next source after a failed or
 // outdated read: the platform is read after a relay has failed, a backup after
 // the platform has failed.
 func (w *Watcher) recordSourceOutcome(u Update) {
-	failed := u.Err != nil && !errors.Is(u.Err, ErrCompacted)
+	failed := u.Err != nil && !needsListing(u.Err)
 	switch {
 	case u.From == "" && failed:
 		w.bypassPlatformUntil = w.cfg.Now() + int64(sourceCooldown)
-	case u.From != "" && (u.Err != nil || u.Batch.Age > maxRelayAge):
+	case u.From != "" && (u.Err != nil && !errors.Is(u.Err, ErrNewHistory) || u.Batch.Age > maxRelayAge):
 		w.bypassRelayUntil = w.cfg.Now() + int64(sourceCooldown)
 		w.bypassPlatformUntil = 0
 		w.failedBackups++
--- a/internal/directory/watcher_test.go
+++ b/internal/directory/watcher_test.go
@@ -42,11 +42,11 @@
 
 func (s *scriptedSource) List(ctx context.Context) (Batch, error) { return s.next(ctx, "list") }
 
-func (s *scriptedSource) Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (s *scriptedSource) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	if wait != platformPollWait {
 		panic("unexpected wait")
 	}
-	return s.next(ctx, "watch "+time.Duration(after).String())
+	return s.next(ctx, "watch "+time.Duration(after.Revision).String())
 }
 
 func runWatcher(t *testing.T, results ...scriptedRead) (reads []string, updates []Update) {
