Scheduler: nothing that was acted on goes back with a copy of the platform

What callers saw (module tests): after the platform came back from a copy, requests were sent to endpoints that had left, endpoints that the copy lacked were dropped at once, and an instance that started meanwhile accepted keys that were withdrawn.

Cause: a listing was believed whatever history it came from. Change: an entry whose removal is remembered is held until it is written again, or until it has outlived a process that has ended; a process that was leaving stays so; entries that are missing are kept for 1.8 s as after an outage; an instance whose first configuration is older than that of others refuses keyed requests until it has caught up, as does any after three quarters of the revocation bound.

Evidence: history_test.go; before, TestEndpointThatHadLeftStaysOutOfUseAfterCopy, TestLiveEndpointInCopyIsUsedAgain, TestEndpointMissingInCopyIsKeptForAMoment, TestInstanceThatStartsWithCopyRefusesKeys and TestNewerVersionElsewhereIsAwaited failed.

--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -135,6 +135,8 @@
 	CounterRetries  Counter = "routed_retries_total"
 	CounterOutcomes Counter = "routed_attempts_total"
 	CounterReads    Counter = "platform_reads_total"
+	// CounterHistories counts the times at which the platform came back from a copy.
+	CounterHistories Counter = "platform_histories_replaced_total"
 	// CounterEndpointEnds counts by evidence, CrashesCounter by observed or
 	// reported.
 	CounterEndpointEnds Counter = "routed_endpoint_ends_total"
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -139,6 +139,7 @@
 		s.endpointsChanged = true
 		s.newEndpoints = append(s.newEndpoints, e)
 	}
+	entry.Leaving = entry.Leaving || s.staysLeaving(entry)
 	changed := added || e.Leaving != entry.Leaving
 	e.Endpoint = entry
 	if added {
@@ -180,6 +181,7 @@
 	delete(s.incarnations, e.incarnation())
 	s.endpointsChanged = true
 	s.limitRemoved(e)
+	s.endpointForgotten(e)
 	s.pool(e.Service).remove(e)
 }
 
--- a/internal/scheduler/endpoint_end.go
+++ b/internal/scheduler/endpoint_end.go
@@ -59,7 +59,11 @@
 	EntryRemoved EndEvidence = "entry_removed"
 )
 
-func (e *endpoint) incarnation() crash.Incarnation { return crash.IncarnationOf(e.ID, e.Started) }
+func (e *endpoint) incarnation() crash.Incarnation { return incarnationOf(e.Endpoint) }
+
+func incarnationOf(entry directory.Endpoint) crash.Incarnation {
+	return crash.IncarnationOf(entry.ID, entry.Started)
+}
 
 // attemptUnanswered records an attempt without a complete answer. A broken
 // connection alone is no evidence that the endpoint ended, so a new connection
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -194,6 +194,7 @@
 	s.mergeCrashes(r.Crashes, r.Address)
 	s.mergeLimits(r.Limits, r.Address)
 	s.applyPermitMessages(r)
+	s.versionReported(r.Version)
 	x := m.byAddress[r.Address]
 	if x != nil && x.incarnation == r.Incarnation && r.Sequence <= x.sequence {
 		return
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -47,7 +47,7 @@
 	if s.cfg.Bounds.Revocation == 0 {
 		return false
 	}
-	if s.platform.confirmedAt == never {
+	if s.platform.confirmedAt == never || s.configOvertaken() {
 		return true
 	}
 	return s.configAge() > time.Duration(staleFraction*float64(s.cfg.Bounds.Revocation))
@@ -77,6 +77,9 @@
 	}
 	s.platform.lastError = ""
 	s.platform.confirmedAt = max(s.platform.confirmedAt, readAt)
+	if u.NewHistory {
+		s.historyReplaced(u)
+	}
 	s.applyBatch(u)
 	s.emit(ConfigConfirmed{At: s.platform.confirmedAt})
 }
@@ -92,12 +95,22 @@
 			s.applyConfig(c.Config, c.Revision)
 		case c.Endpoint != nil:
 			listed[c.EndpointID] = true
+			if u.NewHistory && s.holdCopiedEntry(*c.Endpoint, c.Revision) {
+				continue
+			}
+			delete(s.held, c.EndpointID)
 			s.endpointListed(*c.Endpoint, c.Revision)
 		case c.EndpointID != "":
+			delete(s.held, c.EndpointID)
 			s.endpointGone(c.EndpointID, c.Revision)
 		}
 	}
 	if u.Full {
+		for id := range s.held {
+			if !listed[id] {
+				delete(s.held, id)
+			}
+		}
 		for id := range s.endpoints {
 			if !listed[id] {
 				s.endpointGone(id, u.Batch.Revision)
@@ -135,7 +148,11 @@
 	if s.table != nil {
 		previous = s.table.Version()
 	}
+	if s.table == nil {
+		s.tableAt = s.now
+	}
 	s.table = routing.NewTable(*c)
+	s.startedBehind = s.startedBehind && s.behind()
 	s.applyQuotas()
 	for _, e := range s.endpoints {
 		e.updateSlots(s.table)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -94,6 +94,17 @@
 	changedLimits []*endpoint
 	// removedLimits holds the limits of endpoints whose entries were removed.
 	removedLimits map[crash.Incarnation]removedLimit
+	// gone holds the processes whose entries were removed lately, held the entries
+	// that a copy of the platform's data brought back.
+	gone map[crash.Incarnation]goneEndpoint
+	held map[string]heldEntry
+	// tableAt is when the first configuration was adopted. reportedVersion is the
+	// newest version at another instance, first reported at reportedVersionAt.
+	// startedBehind is set if it was newer than this instance's first one.
+	tableAt           Instant
+	reportedVersion   int64
+	reportedVersionAt Instant
+	startedBehind     bool
 	// permitsSent is the number of grants that this instance has made.
 	permitsSent uint64
 	leaving     bool
@@ -118,6 +129,8 @@
 		zonesReached:   map[string]Instant{},
 		withUnanswered: map[crash.Incarnation]*endpoint{},
 		removedLimits:  map[crash.Incarnation]removedLimit{},
+		gone:           map[crash.Incarnation]goneEndpoint{},
+		held:           map[string]heldEntry{},
 	}
 	s.members = newMembers(cfg, now)
 	return s
@@ -171,6 +184,7 @@
 func (s *State) tick() {
 	s.expireQueued()
 	s.expireLapsedEndpoints()
+	s.releaseHeldEntries()
 	s.expireCrashes()
 	for _, p := range s.poolOrder {
 		s.dispatchWaiting(p)
