Scheduler: one wrong report does not stop an instance for good

What callers would see: after a single datagram with a version that no configuration has, an instance that has just started refuses keyed requests for ever. Change: a version counts as long as a reachable instance reports it.

--- a/internal/scheduler/history.go
+++ b/internal/scheduler/history.go
@@ -91,17 +91,34 @@
 
 // versionReported records the version of the configuration in force at another
 // instance.
-func (s *State) versionReported(version int64) {
+func (s *State) versionReported(x *member, version int64) {
+	x.version = version
 	if version <= s.reportedVersion {
 		return
 	}
 	s.reportedVersion, s.reportedVersionAt = version, s.now
 	if s.behind() && s.now.Sub(s.tableAt) <= startDetection && !s.startedBehind {
 		s.startedBehind = true
-		s.log("config_behind", "version", s.configVersion(), "reported", version)
+		s.log("config_behind", "version", s.configVersion(), "reported", version, "from", x.address)
 	}
 }
 
+// expireReportedVersion forgets a version that no reachable instance reports, so
+// that a wrong report has no lasting effect.
+func (s *State) expireReportedVersion() {
+	if !s.behind() {
+		return
+	}
+	newest := int64(0)
+	for _, x := range s.members.byAddress {
+		if s.members.reachable(x, s.now) {
+			newest = max(newest, x.version)
+		}
+	}
+	s.reportedVersion = min(s.reportedVersion, newest)
+	s.startedBehind = s.startedBehind && s.behind()
+}
+
 // behind reports whether another instance has a newer configuration.
 func (s *State) behind() bool { return s.table != nil && s.table.Version() < s.reportedVersion }
 
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -46,6 +46,8 @@
 	// startedLater is set if the member started after this instance. established
 	// is set if it was past its startup period at first contact.
 	startedLater, established bool
+	// version is the version of the configuration in force at the member.
+	version int64
 	// demand is the cost per second of the requests received by the member.
 	demand float64
 	// loads lists the endpoints for which the member has reported a load.
@@ -194,7 +196,6 @@
 	s.mergeCrashes(r.Crashes, r.Address)
 	s.mergeLimits(r.Limits, r.Address)
 	s.applyPermitMessages(r)
-	s.versionReported(r.Version)
 	x := m.byAddress[r.Address]
 	if x != nil && x.incarnation == r.Incarnation && r.Sequence <= x.sequence {
 		return
@@ -231,6 +232,7 @@
 	x.lastContact = s.now
 	s.zoneReached(x.zone, s.now)
 	x.demand = r.Demand
+	s.versionReported(x, r.Version)
 	s.probeUnknownMembers(r.Members)
 	s.applyUsage(x, r.Usage, newlyConnected)
 	if !r.WithoutLoads {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -185,6 +185,7 @@
 	s.expireQueued()
 	s.expireLapsedEndpoints()
 	s.releaseHeldEntries()
+	s.expireReportedVersion()
 	s.expireCrashes()
 	for _, p := range s.poolOrder {
 		s.dispatchWaiting(p)
