Permits: tests that each part of the limits is needed

Cause: with the parts switched off one at a time (trials on a scratch copy) five tests did not fail. Change: tests for the queued time of an ask, the partition's part, leaving instances, and answers that confirm a limit; a check that two places made is made in one.

--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -85,14 +85,12 @@
 	}
 }
 
-// mergeLimits applies the statements that another instance reports. A statement
-// with the limit that is believed already does not make that newer: its time is
-// late by the transit of the report, and instances would confirm each other a
-// limit that has been lifted.
+// mergeLimits applies the statements that another instance reports. Their times
+// are late by the transit of the report.
 func (s *State) mergeLimits(statements []LimitStatement, from string) {
 	for _, m := range statements {
 		e := s.incarnations[m.Endpoint]
-		if e == nil || e.limit != nil && e.limit.RateLimit == m.Limit {
+		if e == nil {
 			continue
 		}
 		n := statement{RateLimit: m.Limit, sent: s.now.Add(-m.SentAge), received: s.now.Add(-m.ReceivedAge), source: from}
@@ -103,7 +101,8 @@
 }
 
 // applyStatement replaces the limit of an endpoint and reports whether it has
-// changed.
+// changed. A statement with the limit that is believed already does not make that
+// newer: instances would confirm each other a limit that has been lifted.
 func (s *State) applyStatement(e *endpoint, n statement) bool {
 	before := RateLimit{}
 	if e.limit != nil {
--- a/internal/scheduler/permit_test.go
+++ b/internal/scheduler/permit_test.go
@@ -194,6 +194,24 @@
 	must.Zero(t, i.sentTo(limited))
 }
 
+// Guards against a holder that forgets how long its ask was queued at the owner:
+// a permit for an old ask is as fresh as any.
+func TestPermitForQueuedAskIsUsed(t *testing.T) {
+	i, p, limited, _ := newLimitedPair(t)
+	p.state(limited, namedLimit(1), 0)
+	for range 8 {
+		i.arrive(route("r", 0), nil)
+	}
+	asks := i.asks()
+	must.SliceNotEmpty(t, asks)
+	i.now = i.now.Add(200 * time.Millisecond)
+	ask := asks[len(asks)-1]
+	p.partial(func(r *Report) {
+		r.Grants = []PermitGrant{{Endpoint: limited.incarnation(), Ask: ask.Number, Number: 1, Permits: 1, Queued: 200 * time.Millisecond}}
+	})
+	must.Eq(t, 1, i.sentTo(limited))
+}
+
 // Guards against a permit that is used twice because its datagram arrives twice.
 func TestRepeatedGrantCountsOnce(t *testing.T) {
 	i, p, limited, _ := newLimitedPair(t)
@@ -246,6 +264,10 @@
 			i.end(id, Attempt{Outcome: Completed})
 		}
 	}
+	p.advance(2 * TickInterval)
+	asks = i.asks()
+	must.SliceNotEmpty(t, asks)
+	must.GreaterEq(t, notUrgent-16, asks[len(asks)-1].Urgency)
 	p.advance(idleTime + 2*reportInterval)
 	asks = i.asks()
 	must.SliceNotEmpty(t, asks)
@@ -319,6 +341,40 @@
 	must.Eq(t, permitPartitionBonus/2, i.s.permitShare())
 }
 
+// Guards against an owner that issues the whole limit while it reaches only some of
+// the instances.
+func TestOwnerIssuesItsPartWhileOthersAreUnreachable(t *testing.T) {
+	i, p, _, own := newLimitedPair(t)
+	p.state(own, namedLimit(10), 0)
+	i.advance(2 * time.Second)
+	sent := 0
+	for range 40 {
+		for range 3 {
+			i.arrive(route("r", 0), nil)
+		}
+		i.advance(100 * time.Millisecond)
+		for id, d := range i.dispatched {
+			if d.Endpoint.ID == own.ID {
+				sent++
+			}
+			i.end(id, Attempt{Outcome: Completed})
+		}
+	}
+	must.Between(t, 15, sent, 26)
+}
+
+// Guards against a stopped instance that serves its open connections for seconds
+// and knows of no limit: nobody reports to a member that has left.
+func TestLeavingInstanceLearnsOfLimits(t *testing.T) {
+	i, p, limited, _ := newLimitedPair(t)
+	p.state(limited, namedLimit(1), 0)
+	i.reports = nil
+	i.step(PeerReported{Report: Report{Incarnation: 77, Sequence: 1, Address: "10.0.0.7:1", Zone: "a", Leaving: true}})
+	must.Len(t, 1, i.reports)
+	must.Eq(t, []string{"10.0.0.7:1"}, i.reports[0].To)
+	must.Len(t, 1, i.reports[0].Report.Limits)
+}
+
 // Guards against a limit that is forgotten because the endpoint's entry was
 // missing for a moment, and against one that outlives the process.
 func TestLimitBelongsToProcess(t *testing.T) {
@@ -390,3 +446,25 @@
 	i.advance(TickInterval)
 	must.Eq(t, ceilDiv(limited.slots+endpointQueueDepth, 2), i.sentTo(limited))
 }
+
+// Guards against a limit that is lifted by an answer that was delayed while later
+// ones named the limit.
+func TestLaterAnswersConfirmLimit(t *testing.T) {
+	i, _, limited, _ := newLimitedPair(t)
+	var sent []RequestID
+	for len(sent) < 3 {
+		id := i.arrive(route("r", 0), nil)
+		if i.dispatched[id].Endpoint.ID == limited.ID {
+			sent = append(sent, id)
+		}
+		i.now = i.now.Add(time.Millisecond)
+	}
+	i.step(AnswerReceived{ID: sent[0], Limit: namedLimit(1)})
+	i.s.requests[sent[1]].dispatched = i.now
+	i.now = i.now.Add(time.Millisecond)
+	i.s.requests[sent[2]].dispatched = i.now
+	i.now = i.now.Add(time.Millisecond)
+	i.step(AnswerReceived{ID: sent[2], Limit: namedLimit(1)})
+	i.step(AnswerReceived{ID: sent[1]})
+	must.True(t, limited.limited())
+}
