Gateway: a caller that reads nothing does not hold its request for ever

What operators saw (test): the stream of a caller that keeps its connection open and reads nothing stayed in progress after its deadline; its slot at the endpoint counted as in use for as long. Cause: the deadline ends the endpoint's connection, but a blocked write to the caller has no bound. Change: writes of a request end a second after its deadline. Evidence: TestCallerThatDoesNotReadHoldsNoSlot failed before; the other tests of resilience_test.go (second copies of answers, stalled and slow streams, endpoints that are no longer listed, stops) passed before too.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -30,6 +30,9 @@
 	// single requests; lines over the limit are counted.
 	requestLogsPerSecond = 300
 	requestLogBurst      = 600
+	// writeGrace is how long after a request's deadline its caller may take to
+	// read the end of the answer.
+	writeGrace = time.Second
 	// defaultBodyBytes is the body limit if the configuration sets none.
 	defaultBodyBytes = 4 << 20
 )
@@ -298,6 +301,7 @@
 		delete(h.inFlight, x.id)
 		h.mu.Unlock()
 	}()
+	defer x.limitWrites()()
 	now := h.cfg.Now()
 	h.post(scheduler.Arrived{Request: scheduler.Request{
 		ID:             x.id,
@@ -316,6 +320,15 @@
 	x.run()
 }
 
+// limitWrites bounds the time for which a caller that reads nothing blocks its
+// request. The returned function ends the bound, since the connection is reused.
+func (x *exchange) limitWrites() (end func()) {
+	control := http.NewResponseController(x.w)
+	// An error means that the connection does not support deadlines.
+	_ = control.SetWriteDeadline(x.deadline.Add(writeGrace))
+	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+}
+
 // nextSplitDraw returns the next number of a sequence that is spread evenly
 // over the non-negative integers.
 func (h *Handler) nextSplitDraw() uint64 {
