Gateway: a panic costs one request

What operators would see: after an unexpected error in the code of one request, its slot at the endpoint is never released; with as many such requests as slots the endpoint gets no more from this instance. Cause: net/http recovers the panic, but the scheduler is not told that the request has ended. Change: the panic is logged with its stack and counted, the request ends at the scheduler, its caller's connection is closed. Evidence: TestPanicCostsOneRequest failed before.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -302,6 +304,7 @@
 		h.mu.Unlock()
 	}()
 	defer x.limitWrites()()
+	defer x.recoverPanic()
 	now := h.cfg.Now()
 	h.post(scheduler.Arrived{Request: scheduler.Request{
 		ID:             x.id,
@@ -329,6 +332,24 @@
 	return func() { _ = control.SetWriteDeadline(time.Time{}) }
 }
 
+// recoverPanic limits an unexpected error to its request: the scheduler learns
+// that the request has ended, and the caller's connection is closed.
+func (x *exchange) recoverPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p != http.ErrAbortHandler {
+		x.h.cfg.Counters.Add("routed_panics_total", "", 1)
+		x.h.cfg.Log.Error("request_panicked", "request", x.info.ID, "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		// Only one of the two concerns the request, depending on whether it is at
+		// an endpoint.
+		x.h.post(scheduler.AttemptEnded{ID: x.id, Attempt: scheduler.Attempt{Outcome: scheduler.Abandoned}})
+		x.h.post(scheduler.CallerGone{ID: x.id})
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // nextSplitDraw returns the next number of a sequence that is spread evenly
 // over the non-negative integers.
 func (h *Handler) nextSplitDraw() uint64 {
--- a/internal/gateway/resilience_test.go
+++ b/internal/gateway/resilience_test.go
@@ -128,6 +128,39 @@
 	eventually(t, func() bool { return s.handler.InFlight() == 0 })
 }
 
+// panickingDialect panics on answers with a certain header.
+type panickingDialect struct{ testDialect }
+
+func (d panickingDialect) ParseAnswer(status int, h http.Header) AnswerInfo {
+	if h.Get("Panic") != "" {
+		panic("unexpected answer")
+	}
+	return d.testDialect.ParseAnswer(status, h)
+}
+
+// Guards against an unexpected error of one request that costs more than that
+// request: its slot at the endpoint was never released.
+func TestPanicCostsOneRequest(t *testing.T) {
+	s := newTestGateway(t, 1, config(nil), func(conn net.Conn, nth int, _ *http.Request) bool {
+		text := okAnswer
+		if nth < 7 {
+			text = strings.Replace(okAnswer, "Stamp", "Panic", 1)
+		}
+		_, err := io.WriteString(conn, text)
+		return err == nil
+	})
+	s.handler.cfg.Dialect = panickingDialect{}
+	for range 7 {
+		_, _, err := s.do(nil)
+		must.Error(t, err)
+	}
+	response, body, err := s.do(func(r *http.Request) { r.Header.Set("Timeout-Ms", "1000") })
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Eq(t, "answer", body)
+	must.Zero(t, s.handler.InFlight())
+}
+
 // Guards against work that is given up or started again elsewhere because the
 // platform no longer lists its endpoint, which may only be slow to report.
 func TestRunningRequestOutlivesEntryOfItsEndpoint(t *testing.T) {
