Permits: asks are numbered by instance; a request waits for the next permit

Cause: an instance that listed an endpoint again numbered its asks from one, and the owner took them for old ones until its ask had expired; and a request was refused 0.05 s before the next permit, since the owner issues at 0.95 of the limit. Change: one number for all asks of an instance; the wait covers the owner's rate and the way of the permit. Evidence: TestRequestWaitsForTheNextPermit failed before. The types that instances exchange stand together in event.go.

--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -238,3 +238,36 @@
 	Endpoint crash.Incarnation
 	Age      time.Duration
 }
+
+// LimitStatement is what an endpoint said about its rate limit.
+type LimitStatement struct {
+	Endpoint crash.Incarnation
+	Limit    RateLimit
+	// SentAge is the time since the request was sent whose answer contained the
+	// statement, ReceivedAge the time since the head of that answer was received.
+	SentAge, ReceivedAge time.Duration
+}
+
+// PermitAsk asks the owner of an endpoint's limit for permits. It replaces the
+// instance's earlier ask.
+type PermitAsk struct {
+	Endpoint crash.Incarnation
+	// Number increases with each ask of the sender.
+	Number uint64
+	// Wanted is the number of permits, Returned the number of those that the
+	// sender got earlier and did not use.
+	Wanted, Returned int
+	// Urgency is the rank of the most urgent request that waits; lower values are
+	// more urgent.
+	Urgency uint32
+}
+
+// PermitGrant is the answer to a PermitAsk.
+type PermitGrant struct {
+	Endpoint crash.Incarnation
+	// Ask is the number of the ask, Number that of the grant, which increases.
+	Ask, Number uint64
+	Permits     int
+	// Queued is the time from the receipt of the ask to the grant.
+	Queued time.Duration
+}
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/balsamstair/balsamstair/internal/crash"
 )
 
 const (
@@ -231,15 +229,6 @@
 	return out
 }
 
-// LimitStatement is what an endpoint said about its rate limit.
-type LimitStatement struct {
-	Endpoint crash.Incarnation
-	Limit    RateLimit
-	// SentAge is the time since the request was sent whose answer contained the
-	// statement, ReceivedAge the time since the head of that answer was received.
-	SentAge, ReceivedAge time.Duration
-}
-
 // logLimits logs the limits that concern this instance at intervals.
 func (s *State) logLimits() {
 	for _, e := range s.limits {
--- a/internal/scheduler/limit_admission.go
+++ b/internal/scheduler/limit_admission.go
@@ -9,6 +9,10 @@
 // that a request waits for a permit.
 const maxLimitedWaitFraction = 1.0 / 3
 
+// permitTransit covers the resolution of the owner's bucket and the way of a permit
+// to its holder.
+const permitTransit = 4 * TickInterval
+
 // allLimited reports whether every endpoint of a pool that takes requests has a
 // rate limit. The sum of the limits is then the capacity of the service.
 func (s *State) allLimited(p *pool) bool {
@@ -47,7 +51,7 @@
 func (r *request) limitedWait(rate float64) time.Duration {
 	untilPermit := time.Duration(math.MaxInt64)
 	if rate > 0 {
-		untilPermit = secondsToDuration(1 / rate)
+		untilPermit = secondsToDuration(1/(permitRateFraction*rate)) + permitTransit
 	}
 	patience := time.Duration(maxLimitedWaitFraction * float64(max(r.Deadline.Sub(r.arrived), 0)))
 	return max(maxQueueTime(r.Route.Target), min(untilPermit, patience))
--- a/internal/scheduler/permit_holder.go
+++ b/internal/scheduler/permit_holder.go
@@ -5,12 +5,8 @@
 	"math/bits"
 	"slices"
 	"time"
-
-	"github.com/balsamstair/balsamstair/internal/crash"
 )
 
-type endpointIncarnation = crash.Incarnation
-
 const (
 	// permitLifetime is how long a permit is valid, from when the owner issued it
 	// at the latest.
@@ -38,13 +34,14 @@
 type permitHolder struct {
 	// permits are the times until which the permits are valid, in order.
 	permits []Instant
-	// asks holds the times of the last two asks; number is that of the last one.
-	number               uint64
+	// asked is the last ask, sent to owner at askedAt; open is the number of its
+	// permits that were not granted yet. A grant may cross the ask that replaces
+	// its own, so the one before is known by numberBefore and askedBefore.
+	asked                PermitAsk
+	owner                string
+	open                 int
+	numberBefore         uint64
 	askedAt, askedBefore Instant
-	// asked is the last ask, open the number of permits that it has not got yet.
-	asked PermitAsk
-	open  int
-	owner string
 	// issuer and granted identify the last grant.
 	issuer, granted uint64
 }
@@ -86,10 +83,10 @@
 	h.issuer, h.granted = issuer, g.Number
 	var asked Instant
 	switch g.Ask {
-	case h.number:
+	case h.asked.Number:
 		asked = h.askedAt
 		h.open = max(h.open-g.Permits, 0)
-	case h.number - 1:
+	case h.numberBefore:
 		asked = h.askedBefore
 	default:
 		return
@@ -149,9 +146,9 @@
 		returned = 0
 	}
 	h.owner = e.limit.owner
-	h.number++
-	h.askedAt, h.askedBefore = s.now, h.askedAt
-	h.asked = PermitAsk{Endpoint: e.incarnation(), Number: h.number, Wanted: wanted, Returned: returned, Urgency: urgency}
+	s.asksSent++
+	h.askedAt, h.askedBefore, h.numberBefore = s.now, h.askedAt, h.asked.Number
+	h.asked = PermitAsk{Endpoint: e.incarnation(), Number: s.asksSent, Wanted: wanted, Returned: returned, Urgency: urgency}
 	h.open = h.asked.Wanted
 	s.sendAsk(e, h.asked)
 }
--- a/internal/scheduler/permit_issuer.go
+++ b/internal/scheduler/permit_issuer.go
@@ -50,30 +50,6 @@
 	expiresAt                Instant
 }
 
-// PermitAsk asks the owner of an endpoint's limit for permits. It replaces the
-// instance's earlier ask.
-type PermitAsk struct {
-	Endpoint endpointIncarnation
-	// Number increases with each ask of the sender for the endpoint.
-	Number uint64
-	// Wanted is the number of permits, Returned the number of those that the
-	// sender got earlier and did not use.
-	Wanted, Returned int
-	// Urgency is the rank of the most urgent request that waits; lower values are
-	// more urgent.
-	Urgency uint32
-}
-
-// PermitGrant is the answer to a PermitAsk.
-type PermitGrant struct {
-	Endpoint endpointIncarnation
-	// Ask is the number of the ask, Number that of the grant, which increases.
-	Ask, Number uint64
-	Permits     int
-	// Queued is the time from the receipt of the ask to the grant.
-	Queued time.Duration
-}
-
 // permitOwner returns the address of the instance that issues permits for e: one
 // of the endpoint's zone, which reaches it as long as any does. Instances with
 // different views may choose different owners for a moment.
@@ -189,8 +165,8 @@
 		a.waitingSince = s.now
 	}
 	for _, a := range order {
-		s.permitsSent++
-		s.emitGrant(a, PermitGrant{Endpoint: e.incarnation(), Ask: a.Number, Number: s.permitsSent, Permits: grants[a], Queued: s.now.Sub(a.receivedAt)})
+		s.grantsSent++
+		s.emitGrant(a, PermitGrant{Endpoint: e.incarnation(), Ask: a.Number, Number: s.grantsSent, Permits: grants[a], Queued: s.now.Sub(a.receivedAt)})
 	}
 }
 
--- a/internal/scheduler/permit_test.go
+++ b/internal/scheduler/permit_test.go
@@ -468,3 +468,34 @@
 	i.step(AnswerReceived{ID: sent[1]})
 	must.True(t, limited.limited())
 }
+
+// Guards against two instances that issue permits for one limit: only the owner
+// answers asks.
+func TestAsksToOthersThanTheOwnerAreIgnored(t *testing.T) {
+	i, p, limited, own := newLimitedPair(t)
+	p.state(limited, namedLimit(10), 0)
+	p.state(own, namedLimit(10), 0)
+	p.advance(time.Second)
+	i.reports = nil
+	p.ask(limited, 1, 5, 5)
+	p.advance(200 * time.Millisecond)
+	must.Zero(t, i.grants())
+	p.ask(own, 1, 5, 5)
+	must.Positive(t, i.grants())
+}
+
+// Guards against a request that is refused although the next permit of its service
+// is due before its caller has lost patience.
+func TestRequestWaitsForTheNextPermit(t *testing.T) {
+	i := newServingInstance(t, 1, 4)
+	i.advance(TickInterval)
+	first := i.arrive(route("r", 0), nil)
+	must.True(t, i.running(first))
+	i.step(AnswerReceived{ID: first, Limit: namedLimit(1)})
+	second := i.arrive(route("r", 0), nil)
+	must.False(t, i.running(second))
+	i.advance(maxQueueTime(route("r", 0).Target) + 600*time.Millisecond)
+	must.MapNotContainsKey(t, i.refused, second)
+	i.advance(time.Second)
+	must.True(t, i.running(second))
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -105,10 +105,10 @@
 	reportedVersion   int64
 	reportedVersionAt Instant
 	startedBehind     bool
-	// permitsSent is the number of grants that this instance has made.
-	permitsSent uint64
-	leaving     bool
-	ready       bool
+	// asksSent and grantsSent number the asks and grants of this instance.
+	asksSent, grantsSent uint64
+	leaving              bool
+	ready                bool
 }
 
 // New returns the state of a process that starts now, without configuration or
