--- a/internal/scheduler/permit_test.go
+++ b/internal/scheduler/permit_test.go
@@ -124,6 +124,18 @@
 	return n
 }
 
+// queueRequests submits requests until some wait for the peer's endpoint, and
+// returns the last ask.
+func (i *instance) queueRequests(n int) PermitAsk {
+	i.t.Helper()
+	for range n {
+		i.arrive(route("r", 0), nil)
+	}
+	asks := i.asks()
+	must.SliceNotEmpty(i.t, asks)
+	return asks[len(asks)-1]
+}
+
 // Guards against a limit that is lifted or raised by an answer that is older, or
 // may be older, than the one that named it.
 func TestNewestStatementCountsAndLowerOneInDoubt(t *testing.T) {
@@ -152,13 +164,9 @@
 func TestReportedLimitIsKept(t *testing.T) {
 	i, p, limited, _ := newLimitedPair(t)
 	p.state(limited, namedLimit(1), 0)
-	for range 8 {
-		i.arrive(route("r", 0), nil)
-	}
+	ask := i.queueRequests(8)
 	must.Zero(t, i.sentTo(limited))
-	asks := i.asks()
-	must.SliceNotEmpty(t, asks)
-	p.grant(limited, asks[len(asks)-1], 1, 1)
+	p.grant(limited, ask, 1, 1)
 	must.Eq(t, 1, i.sentTo(limited))
 }
 
@@ -184,13 +192,9 @@
 func TestLatePermitIsNotUsed(t *testing.T) {
 	i, p, limited, _ := newLimitedPair(t)
 	p.state(limited, namedLimit(1), 0)
-	for range 8 {
-		i.arrive(route("r", 0), nil)
-	}
-	asks := i.asks()
-	must.SliceNotEmpty(t, asks)
+	ask := i.queueRequests(8)
 	i.now = i.now.Add(permitLifetime)
-	p.grant(limited, asks[len(asks)-1], 1, 1)
+	p.grant(limited, ask, 1, 1)
 	must.Zero(t, i.sentTo(limited))
 }
 
@@ -199,13 +203,8 @@
 func TestPermitForQueuedAskIsUsed(t *testing.T) {
 	i, p, limited, _ := newLimitedPair(t)
 	p.state(limited, namedLimit(1), 0)
-	for range 8 {
-		i.arrive(route("r", 0), nil)
-	}
-	asks := i.asks()
-	must.SliceNotEmpty(t, asks)
+	ask := i.queueRequests(8)
 	i.now = i.now.Add(200 * time.Millisecond)
-	ask := asks[len(asks)-1]
 	p.partial(func(r *Report) {
 		r.Grants = []PermitGrant{{Endpoint: limited.incarnation(), Ask: ask.Number, Number: 1, Permits: 1, Queued: 200 * time.Millisecond}}
 	})
@@ -216,13 +215,9 @@
 func TestRepeatedGrantCountsOnce(t *testing.T) {
 	i, p, limited, _ := newLimitedPair(t)
 	p.state(limited, namedLimit(1), 0)
-	for range 12 {
-		i.arrive(route("r", 0), nil)
-	}
-	asks := i.asks()
-	must.SliceNotEmpty(t, asks)
+	ask := i.queueRequests(12)
 	for range 3 {
-		p.grant(limited, asks[len(asks)-1], 7, 1)
+		p.grant(limited, ask, 7, 1)
 	}
 	must.Eq(t, 1, i.sentTo(limited))
 }
