Endpoints with limits: callers that waited in vain get the same Retry-After

What callers saw: a request that was refused after it had waited for a permit was told to return after 0.25 to 1.15 s, whatever the limits. Cause: only requests that were refused at once got a Retry-After from the sum of the limits. Change: both do. Evidence: TestRetryAfterFollowsFromLimits failed before in its last check.

--- a/internal/scheduler/limit_admission.go
+++ b/internal/scheduler/limit_admission.go
@@ -77,16 +77,16 @@
 			return
 		}
 		p.dequeue(r)
-		s.refuse(r, LimitReached, s.limitedRetryAfter(r, p, rate))
-		s.removeRequest(r)
+		s.refuseHeld(r, LimitReached)
 	}
 }
 
 // limitedRetryAfter returns the time after which the requests that are queued
 // now will have been sent.
-func (s *State) limitedRetryAfter(r *request, p *pool, rate float64) time.Duration {
+func (s *State) limitedRetryAfter(r *request) time.Duration {
+	p := s.pool(r.Service)
 	pause := minRetryAfter
-	if rate > 0 {
+	if rate := s.limitedRate(p); rate > 0 {
 		pause = max(pause, secondsToDuration(float64(len(p.waiting)+1)/rate))
 	}
 	return s.jitteredRetryAfter(r, pause)
--- a/internal/scheduler/permit_test.go
+++ b/internal/scheduler/permit_test.go
@@ -494,3 +494,21 @@
 	i.advance(time.Second)
 	must.True(t, i.running(second))
 }
+
+// Guards against refused callers that return before the endpoints can take their
+// requests: the pause follows from the limits.
+func TestRetryAfterFollowsFromLimits(t *testing.T) {
+	i := newServingInstance(t, 1, 4)
+	i.advance(TickInterval)
+	first := i.arrive(route("r", 0), nil)
+	i.step(AnswerReceived{ID: first, Limit: namedLimit(0.5)})
+	patient := func(q *Request) { q.CallerDeadline = i.now.Add(time.Minute) }
+	waiting := i.arrive(route("r", 0), patient)
+	refused := i.refusal(i.arrive(route("r", 1), patient))
+	must.Eq(t, LimitReached, refused.Reason)
+	must.True(t, refused.NotRun)
+	must.Between(t, 4*time.Second, refused.RetryAfter, 4*time.Second+retryAfterJitter)
+	i.advance(4 * time.Second)
+	must.Eq(t, LimitReached, i.refusal(waiting).Reason)
+	must.Between(t, 2*time.Second, i.refusal(waiting).RetryAfter, 2*time.Second+retryAfterJitter)
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -84,10 +84,9 @@
 	// adds a millisecond of latency.
 	crossZoneCost = 2.5
 	// nonPreferredCost is added to the cost of an endpoint of the own zone that
-	// is preferred by another instance, in the same unit, unless permits already
-	// keep the instances apart. Instances of a zone
+	// is preferred by another instance, in the same unit. Instances of a zone
 	// then use different endpoints while there is capacity, and each knows the
-	// load of its own endpoints best.
+	// load of its own endpoints best. Permits already keep the instances apart.
 	nonPreferredCost = 1.0
 	// limitedLoadWeight is the weight of the load of an endpoint for which a
 	// permit is held. A permit that is not used at once is lost.
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -216,7 +216,11 @@
 // refuseHeld refuses and removes an admitted request.
 func (s *State) refuseHeld(r *request, reason Reason) {
 	retry := time.Duration(0)
-	if !r.mayHaveRun {
+	switch {
+	case r.mayHaveRun:
+	case reason == LimitReached:
+		retry = s.limitedRetryAfter(r)
+	default:
 		retry = s.retryAfter(r)
 	}
 	s.refuse(r, reason, retry)
