--- a/internal/scheduler/permit_holder.go
+++ b/internal/scheduler/permit_holder.go
@@ -137,8 +137,7 @@
 	h.permits = slices.DeleteFunc(h.permits, func(until Instant) bool { return until <= s.now })
 	returned := valid - len(h.permits)
 	wanted, urgency := s.wantedPermits(e)
-	wanted -= len(h.permits)
-	wanted = max(wanted, 0)
+	wanted = max(wanted-len(h.permits), 0)
 	if returned == 0 && !s.askDue(e, wanted, urgency) {
 		return
 	}
