Logs: the parts of a prompt that requests share

Change: the adapter reads the parts (all but the last, which belongs to the request or its session); they are in request_ended, attempt_failed and crash_recorded. Nothing is decided by them.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -23,6 +23,9 @@
 	// maximum length of the answer, in tokens; zero if unknown.
 	PromptTokens int
 	OutputTokens int
+	// PromptParts are the parts of the prompt that other requests may have too, in
+	// order and without duplicates.
+	PromptParts []scheduler.PromptPart
 	// LastEventID is the id of the last event that the caller received of an
 	// earlier answer; zero if none.
 	LastEventID int64
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -317,6 +317,7 @@
 		Tokens:         x.info.PromptTokens + x.info.OutputTokens,
 		PromptTokens:   x.info.PromptTokens,
 		Fingerprint:    x.fingerprint,
+		PromptParts:    x.info.PromptParts,
 		CallerDeadline: now.Add(callerTimeout),
 		Deadline:       now.Add(remaining),
 	}})
@@ -420,7 +421,8 @@
 		"attempts", x.attempts, "endpoint", x.endpoint, "outcome", outcome,
 		"queued_ms", x.queueTime.Milliseconds(), "first_event_ms", firstEvent.Milliseconds(),
 		"longest_pause_ms", x.events.longestGap.Milliseconds(), "prompt_tokens", x.info.PromptTokens,
-		"took_ms", total.Milliseconds(), "events", x.events.lastID, "fingerprint", scheduler.FormatFingerprint(x.fingerprint)}, x.decisionFields...)
+		"took_ms", total.Milliseconds(), "events", x.events.lastID, "fingerprint", scheduler.FormatFingerprint(x.fingerprint),
+		"prompt_parts", scheduler.FormatPromptParts(x.info.PromptParts)}, x.decisionFields...)
 	h.cfg.Log.Info("request_ended", fields...)
 }
 
@@ -429,6 +431,7 @@
 	h.cfg.Counters.Add("routed_attempt_failures_total", step, 1)
 	if h.logLimiter.Allow() {
 		h.cfg.Log.Info("attempt_failed", "request", x.info.ID, "endpoint", x.endpoint, "attempt", x.attempts,
-			"step", step, "events", x.events.lastID, "fingerprint", scheduler.FormatFingerprint(x.fingerprint), "error", err.Error())
+			"step", step, "events", x.events.lastID, "fingerprint", scheduler.FormatFingerprint(x.fingerprint),
+			"prompt_parts", scheduler.FormatPromptParts(x.info.PromptParts), "error", err.Error())
 	}
 }
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -35,7 +35,8 @@
 		return
 	}
 	s.count(CounterCrashes, "observed")
-	s.log("crash_recorded", "request", u.request, "fingerprint", FormatFingerprint(u.fingerprint), "endpoint", e.ID,
+	s.log("crash_recorded", "request", u.request, "fingerprint", FormatFingerprint(u.fingerprint),
+		"prompt_parts", FormatPromptParts(u.parts), "endpoint", e.ID,
 		"incarnation", fmt.Sprintf("%x", uint64(e.incarnation())), "ends", before+1)
 	s.endsAdded(u.fingerprint, before)
 }
--- a/internal/scheduler/endpoint_end.go
+++ b/internal/scheduler/endpoint_end.go
@@ -33,6 +33,7 @@
 // against its request if its endpoint turns out to have ended.
 type unanswered struct {
 	fingerprint uint64
+	parts       []PromptPart
 	request     string
 	at          Instant
 	// broken is set if the connection failed, as opposed to a caller that left or
@@ -70,14 +71,14 @@
 // is tried.
 func (s *State) attemptUnanswered(e *endpoint, r *request, a Attempt) {
 	if e.endedAt != 0 {
-		s.recordCrash(e, unanswered{fingerprint: r.Fingerprint, request: r.Name, at: s.now})
+		s.recordCrash(e, unanswered{fingerprint: r.Fingerprint, parts: r.PromptParts, request: r.Name, at: s.now})
 		return
 	}
 	if len(e.unanswered) >= maxUnanswered {
 		e.unanswered = e.unanswered[1:]
 	}
 	broken := a.Outcome == Broken
-	e.unanswered = append(e.unanswered, unanswered{fingerprint: r.Fingerprint, request: r.Name, at: s.now, broken: broken})
+	e.unanswered = append(e.unanswered, unanswered{fingerprint: r.Fingerprint, parts: r.PromptParts, request: r.Name, at: s.now, broken: broken})
 	s.withUnanswered[e.incarnation()] = e
 	if (broken || e.entryRemoved && !a.AnswerStarted) && !e.probing {
 		e.probing = true
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -32,6 +32,8 @@
 	PromptTokens int
 	// Fingerprint is equal for requests with the same caller, path and body.
 	Fingerprint uint64
+	// PromptParts are the parts of the prompt that other requests may have too.
+	PromptParts []PromptPart
 	// CallerDeadline is the time until which the caller waits. Deadline is the
 	// earlier of CallerDeadline and the route's timeout.
 	CallerDeadline Instant
