Test: requests that share a crashing part of their prompts

No two requests are alike, each is tried once, and none is refused. The simulation gets prompts with shared parts, a time for reading them, and parts that crash the engine as it begins to answer.

--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -38,6 +38,8 @@
 	crashes *simCrashes
 	// limits is the part in which engines name rate limits.
 	limits *simLimits
+	// parts is the part in which requests have prompts with shared parts.
+	parts *simParts
 }
 
 type simInstance struct {
@@ -200,11 +202,13 @@
 			}
 			job := simJob{i, i.incarnation, e.ID, f.now, e.Limited}
 			f.crashes.dispatched(f, job)
+			f.parts.dispatched(f, job)
 			f.after(simDelay, func() { f.arriveAtEngine(f.engines[e.Endpoint.ID], job) })
 		case Refuse:
 			f.refused++
 			f.crashes.refused(e.Reason)
 			f.limits.refused(f, i, e)
+			f.parts.refused(i, e)
 			f.crashes.finished(i, e.ID)
 		case Counted:
 			f.limits.counted(e)
@@ -246,6 +250,11 @@
 	if f.crashes.crashed(f, e, job) {
 		return
 	}
+	f.parts.prefill(f, e, job, func() { f.answerJob(e, job) })
+}
+
+// answerJob begins the answer to a job and ends it after its service time.
+func (f *simulation) answerJob(e *simEngine, job simJob) {
 	f.limits.answer(f, e, job)
 	f.stepJob(job, AnswerStarted{ID: job.id})
 	f.after(time.Duration(f.rand.ExpFloat64()*float64(f.serviceTime)), func() {
@@ -278,6 +287,7 @@
 		r := f.limits.route(f, f.instances[n])
 		f.step(f.instances[n], Arrived{Request: Request{
 			ID: f.nextID, Name: "r", Version: 1, Route: r, Service: service, Fingerprint: f.crashes.fingerprint(f.nextID), PromptTokens: 2000, Tokens: 2100,
+			PromptParts:    f.parts.arriving(f, f.instances[n], f.nextID),
 			Organisation:   &f.instances[n].s.table.Organisations()[f.nextID%16],
 			CallerDeadline: f.now.Add(5 * time.Second), Deadline: f.now.Add(5 * time.Second),
 		}})
