crash: evidence is kept by cause

A cause is the request as a whole, as before, or something that requests have in common. Names only: every caller uses the request as the cause, messages between instances are the same.

--- a/internal/crash/table.go
+++ b/internal/crash/table.go
@@ -11,15 +11,15 @@
 const (
 	// Retention is how long an end counts.
 	Retention = 10 * time.Minute
-	// completionRetention is how long a completed run is remembered if the
-	// request has no later end. It is long compared with the time in which other
-	// instances learn of the completion and drop the ends before it.
-	completionRetention = time.Minute
-	// maxEnds limits the number of ends kept for one request.
+	// acquittalRetention is how long a sound run is remembered if its cause has no
+	// later end. It is long compared with the time in which other instances learn
+	// of the run and drop the ends before it.
+	acquittalRetention = time.Minute
+	// maxEnds limits the number of ends kept for one cause.
 	maxEnds = 6
-	// recentCompletions is the number of completed runs that are remembered for
-	// requests without evidence.
-	recentCompletions = 256
+	// recentAcquittals is the number of causes without evidence of which a sound run
+	// is remembered.
+	recentAcquittals = 256
 )
 
 // Time is a point in time on the monotonic clock of this instance.
@@ -34,7 +34,7 @@
 	return Incarnation(xxhash.Sum64String(endpointID + "/" + strconv.FormatInt(started, 10)))
 }
 
-// End is the end of an endpoint while it ran a request.
+// End is the end of an endpoint while it ran a request with a cause.
 type End struct {
 	Endpoint Incarnation
 	At       Time
@@ -43,58 +43,58 @@
 	Source string
 }
 
-// Record is what a Table knows about a request.
+// Record is what a Table knows about a cause.
 type Record struct {
-	Fingerprint uint64
-	// Ends are those after CompletedAt.
+	Cause Cause
+	// Ends are those after AcquittedAt.
 	Ends []End
-	// CompletedAt is when a run last completed; Completed is false if none did.
-	Completed   bool
-	CompletedAt Time
+	// AcquittedAt is when a run with the cause was last found sound; Acquitted is
+	// false if none was.
+	Acquitted   bool
+	AcquittedAt Time
 }
 
-// Table holds the records by request fingerprint. It is not safe for concurrent
-// use.
+// Table holds the records by cause. It is not safe for concurrent use.
 type Table struct {
 	threshold, limit int
-	records          map[uint64]*Record
-	// order holds the fingerprints of the records in the order in which they are
-	// reported; cursor is the index of the next one.
-	order  []uint64
+	records          map[Cause]*Record
+	// order holds the causes of the records in the order in which they are reported;
+	// cursor is the index of the next one.
+	order  []Cause
 	cursor int
-	// changed holds the fingerprints with new evidence from this instance.
-	changed     []uint64
-	completions completionRing
+	// changed holds the causes with new evidence from this instance.
+	changed    []Cause
+	acquittals acquittalRing
 }
 
-// NewTable returns an empty Table of at most limit requests, in which threshold
-// ends make a request a suspect.
+// NewTable returns an empty Table of at most limit causes, in which threshold ends
+// make a cause a suspect.
 func NewTable(threshold, limit int) *Table {
-	return &Table{threshold: threshold, limit: limit, records: map[uint64]*Record{}, completions: completionRing{at: map[uint64]Time{}}}
+	return &Table{threshold: threshold, limit: limit, records: map[Cause]*Record{}, acquittals: acquittalRing{at: map[Cause]Time{}}}
 }
 
-// Ends returns the ends that count for a request. The result must not be
+// Ends returns the ends that count for a cause. The result must not be
 // modified.
-func (t *Table) Ends(fingerprint uint64) []End {
-	if r := t.records[fingerprint]; r != nil {
+func (t *Table) Ends(cause Cause) []End {
+	if r := t.records[cause]; r != nil {
 		return r.Ends
 	}
 	return nil
 }
 
-// Suspect reports whether enough endpoints have ended under a request.
-func (t *Table) Suspect(fingerprint uint64) bool { return len(t.Ends(fingerprint)) >= t.threshold }
+// Suspect reports whether enough endpoints have ended under a cause.
+func (t *Table) Suspect(cause Cause) bool { return len(t.Ends(cause)) >= t.threshold }
 
-// Get returns the record of a request and whether there is one.
-func (t *Table) Get(fingerprint uint64) (Record, bool) {
-	r := t.records[fingerprint]
+// Get returns the record of a cause and whether there is one.
+func (t *Table) Get(cause Cause) (Record, bool) {
+	r := t.records[cause]
 	if r == nil {
 		return Record{}, false
 	}
 	return r.copy(), true
 }
 
-// All returns the records of the requests under which endpoints have ended.
+// All returns the records of the causes under which endpoints have ended.
 func (t *Table) All() []Record {
 	var out []Record
 	for _, f := range t.order {
@@ -107,34 +107,34 @@
 
 // AddEnd records an end that this instance observed and reports whether it
 // counts and was not known before.
-func (t *Table) AddEnd(fingerprint uint64, endpoint Incarnation, at Time) bool {
-	if !t.add(fingerprint, End{Endpoint: endpoint, At: at}) {
+func (t *Table) AddEnd(cause Cause, endpoint Incarnation, at Time) bool {
+	if !t.add(cause, End{Endpoint: endpoint, At: at}) {
 		return false
 	}
-	t.markChanged(fingerprint)
+	t.markChanged(cause)
 	return true
 }
 
-// AddCompletion records a run that completed. It returns the ends that no longer
+// AddAcquittal records a sound run with a cause. It returns the ends that no longer
 // count.
-func (t *Table) AddCompletion(fingerprint uint64, at Time) []End {
-	t.completions.add(fingerprint, at)
-	r := t.records[fingerprint]
+func (t *Table) AddAcquittal(cause Cause, at Time) []End {
+	t.acquittals.add(cause, at)
+	r := t.records[cause]
 	if r == nil {
 		return nil
 	}
-	if t.Suspect(fingerprint) {
-		t.markChanged(fingerprint)
+	if t.Suspect(cause) {
+		t.markChanged(cause)
 	}
-	return r.complete(at)
+	return r.acquit(at)
 }
 
-// complete drops the ends up to a completed run and returns them.
-func (r *Record) complete(at Time) []End {
-	if r.Completed && r.CompletedAt >= at {
+// acquit drops the ends up to a sound run and returns them.
+func (r *Record) acquit(at Time) []End {
+	if r.Acquitted && r.AcquittedAt >= at {
 		return nil
 	}
-	r.Completed, r.CompletedAt = true, at
+	r.Acquitted, r.AcquittedAt = true, at
 	var dropped, kept []End
 	for _, e := range r.Ends {
 		if e.At <= at {
@@ -150,26 +150,26 @@
 // Merge adds the evidence of another instance and returns the ends that were
 // not known before.
 func (t *Table) Merge(other Record, now Time) []End {
-	if r := t.records[other.Fingerprint]; r != nil && other.Completed {
-		r.complete(other.CompletedAt)
+	if r := t.records[other.Cause]; r != nil && other.Acquitted {
+		r.acquit(other.AcquittedAt)
 	}
 	var added []End
 	for _, e := range other.Ends {
-		if now-e.At < Retention && t.add(other.Fingerprint, e) {
+		if now-e.At < Retention && t.add(other.Cause, e) {
 			added = append(added, e)
 		}
 	}
 	return added
 }
 
-// add adds an end unless it is known or precedes a completed run. Of two times
+// add adds an end unless it is known or precedes a sound run. Of two times
 // for the same end the earlier one is kept, since reports are only ever late.
-func (t *Table) add(fingerprint uint64, e End) bool {
-	r := t.records[fingerprint]
+func (t *Table) add(cause Cause, e End) bool {
+	r := t.records[cause]
 	if r == nil {
-		r = t.insert(fingerprint)
+		r = t.insert(cause)
 	}
-	if r.Completed && e.At <= r.CompletedAt {
+	if r.Acquitted && e.At <= r.AcquittedAt {
 		return false
 	}
 	for k := range r.Ends {
@@ -186,14 +186,14 @@
 }
 
 // insert returns a new record. A full table drops another one.
-func (t *Table) insert(fingerprint uint64) *Record {
+func (t *Table) insert(cause Cause) *Record {
 	if len(t.records) >= t.limit {
 		t.evict()
 	}
-	r := &Record{Fingerprint: fingerprint}
-	r.CompletedAt, r.Completed = t.completions.at[fingerprint]
-	t.records[fingerprint] = r
-	t.order = append(t.order, fingerprint)
+	r := &Record{Cause: cause}
+	r.AcquittedAt, r.Acquitted = t.acquittals.at[cause]
+	t.records[cause] = r
+	t.order = append(t.order, cause)
 	return r
 }
 
@@ -222,16 +222,16 @@
 	for k := len(t.order) - 1; k >= 0; k-- {
 		r := t.records[t.order[k]]
 		r.Ends = slices.DeleteFunc(r.Ends, func(e End) bool { return now-e.At >= Retention || refuted(e) })
-		if len(r.Ends) == 0 && (!r.Completed || now-r.CompletedAt >= completionRetention) {
-			delete(t.records, r.Fingerprint)
+		if len(r.Ends) == 0 && (!r.Acquitted || now-r.AcquittedAt >= acquittalRetention) {
+			delete(t.records, r.Cause)
 			t.removeFromOrder(k)
 		}
 	}
 }
 
-func (t *Table) markChanged(fingerprint uint64) {
-	if !slices.Contains(t.changed, fingerprint) {
-		t.changed = append(t.changed, fingerprint)
+func (t *Table) markChanged(cause Cause) {
+	if !slices.Contains(t.changed, cause) {
+		t.changed = append(t.changed, cause)
 	}
 }
 
@@ -266,18 +266,18 @@
 	return out
 }
 
-// completionRing remembers the last completed runs.
-type completionRing struct {
-	at   map[uint64]Time
-	ring [recentCompletions]uint64
+// acquittalRing remembers the last sound runs.
+type acquittalRing struct {
+	at   map[Cause]Time
+	ring [recentAcquittals]Cause
 	next int
 }
 
-func (c *completionRing) add(fingerprint uint64, at Time) {
-	if _, known := c.at[fingerprint]; !known {
+func (c *acquittalRing) add(cause Cause, at Time) {
+	if _, known := c.at[cause]; !known {
 		delete(c.at, c.ring[c.next])
-		c.ring[c.next] = fingerprint
-		c.next = (c.next + 1) % recentCompletions
+		c.ring[c.next] = cause
+		c.next = (c.next + 1) % recentAcquittals
 	}
-	c.at[fingerprint] = at
+	c.at[cause] = at
 }
--- a/internal/crash/table_test.go
+++ b/internal/crash/table_test.go
@@ -15,9 +15,9 @@
 
 func newTable() *Table { return NewTable(threshold, limit) }
 
-func ends(t *Table, f uint64) map[Incarnation]bool {
+func ends(t *Table, c Cause) map[Incarnation]bool {
 	out := map[Incarnation]bool{}
-	for _, e := range t.Ends(f) {
+	for _, e := range t.Ends(c) {
 		out[e.Endpoint] = true
 	}
 	return out
@@ -29,8 +29,8 @@
 	var tables []*Table
 	for n := range 3 {
 		table := newTable()
-		must.True(t, table.AddEnd(7, Incarnation(n), time.Second))
-		must.False(t, table.AddEnd(7, Incarnation(n), 2*time.Second))
+		must.True(t, table.AddEnd(RequestCause(7), Incarnation(n), time.Second))
+		must.False(t, table.AddEnd(RequestCause(7), Incarnation(n), 2*time.Second))
 		tables = append(tables, table)
 	}
 	for range 2 {
@@ -43,8 +43,8 @@
 		}
 	}
 	for _, table := range tables {
-		must.True(t, table.Suspect(7))
-		must.Len(t, 3, table.Ends(7))
+		must.True(t, table.Suspect(RequestCause(7)))
+		must.Len(t, 3, table.Ends(RequestCause(7)))
 		must.Len(t, 1, table.All())
 	}
 }
@@ -54,45 +54,45 @@
 func TestCompletionOutweighsEarlierEnds(t *testing.T) {
 	table, other := newTable(), newTable()
 	for n := range threshold {
-		table.AddEnd(7, Incarnation(n), time.Second)
-		other.AddEnd(7, Incarnation(n), time.Second)
+		table.AddEnd(RequestCause(7), Incarnation(n), time.Second)
+		other.AddEnd(RequestCause(7), Incarnation(n), time.Second)
 	}
-	must.Len(t, threshold, table.AddCompletion(7, 2*time.Second))
-	must.False(t, table.Suspect(7))
+	must.Len(t, threshold, table.AddAcquittal(RequestCause(7), 2*time.Second))
+	must.False(t, table.Suspect(RequestCause(7)))
 	for _, r := range other.Next(1) {
 		must.SliceEmpty(t, table.Merge(r, 3*time.Second))
 	}
-	must.True(t, other.Suspect(7))
+	must.True(t, other.Suspect(RequestCause(7)))
 	for _, r := range table.Next(1) {
 		other.Merge(r, 3*time.Second)
 	}
-	must.False(t, other.Suspect(7))
-	must.True(t, table.AddEnd(7, 9, 4*time.Second))
-	must.Len(t, 1, table.Ends(7))
+	must.False(t, other.Suspect(RequestCause(7)))
+	must.True(t, table.AddEnd(RequestCause(7), 9, 4*time.Second))
+	must.Len(t, 1, table.Ends(RequestCause(7)))
 }
 
 // Guards against ends that are heard of only after the request completed here.
 func TestRecentCompletionOutweighsEndsReportedLater(t *testing.T) {
 	table := newTable()
-	table.AddCompletion(7, 2*time.Second)
+	table.AddAcquittal(RequestCause(7), 2*time.Second)
 	for n := range threshold {
-		table.Merge(Record{Fingerprint: 7, Ends: []End{{Endpoint: Incarnation(n), At: time.Second}}}, 3*time.Second)
+		table.Merge(Record{Cause: RequestCause(7), Ends: []End{{Endpoint: Incarnation(n), At: time.Second}}}, 3*time.Second)
 	}
-	must.SliceEmpty(t, table.Ends(7))
-	table.Merge(Record{Fingerprint: 7, Ends: []End{{Endpoint: 1, At: 2500 * time.Millisecond}}}, 3*time.Second)
-	must.Len(t, 1, table.Ends(7))
+	must.SliceEmpty(t, table.Ends(RequestCause(7)))
+	table.Merge(Record{Cause: RequestCause(7), Ends: []End{{Endpoint: 1, At: 2500 * time.Millisecond}}}, 3*time.Second)
+	must.Len(t, 1, table.Ends(RequestCause(7)))
 }
 
 // Guards against evidence that is never reported because others fill the report.
 func TestEveryRecordIsReportedInTurn(t *testing.T) {
 	table := newTable()
 	for f := range uint64(40) {
-		table.AddEnd(f, 1, 0)
+		table.AddEnd(RequestCause(f), 1, 0)
 	}
-	seen := map[uint64]int{}
+	seen := map[Cause]int{}
 	for range 10 {
 		for _, r := range table.Next(4) {
-			seen[r.Fingerprint]++
+			seen[r.Cause]++
 		}
 	}
 	must.MapLen(t, 40, seen)
@@ -106,15 +106,15 @@
 func TestFullTableDropsOldestWithLeastEvidence(t *testing.T) {
 	table := newTable()
 	for n := range threshold {
-		table.AddEnd(0, Incarnation(n), 0)
+		table.AddEnd(RequestCause(0), Incarnation(n), 0)
 	}
 	for f := uint64(1); f < limit+10; f++ {
-		must.True(t, table.AddEnd(f, 1, 0))
+		must.True(t, table.AddEnd(RequestCause(f), 1, 0))
 	}
 	must.MapLen(t, limit, table.records)
 	must.Len(t, limit, table.order)
-	must.True(t, table.Suspect(0))
-	must.Len(t, 1, table.Ends(limit+9))
+	must.True(t, table.Suspect(RequestCause(0)))
+	must.Len(t, 1, table.Ends(RequestCause(limit+9)))
 }
 
 func neverRefuted(End) bool { return false }
@@ -122,23 +122,23 @@
 // Guards against an endpoint that lives on and still counts as ended.
 func TestRefutedEndsAreRemoved(t *testing.T) {
 	table := newTable()
-	table.AddEnd(7, 1, 0)
-	table.AddEnd(7, 2, 0)
+	table.AddEnd(RequestCause(7), 1, 0)
+	table.AddEnd(RequestCause(7), 2, 0)
 	table.Expire(time.Second, func(e End) bool { return e.Endpoint == 1 })
-	must.Eq(t, map[Incarnation]bool{2: true}, ends(table, 7))
+	must.Eq(t, map[Incarnation]bool{2: true}, ends(table, RequestCause(7)))
 }
 
 func TestEndsExpire(t *testing.T) {
 	table := newTable()
-	table.AddEnd(7, 1, 0)
-	table.AddEnd(7, 2, time.Minute)
+	table.AddEnd(RequestCause(7), 1, 0)
+	table.AddEnd(RequestCause(7), 2, time.Minute)
 	table.Expire(Retention, neverRefuted)
-	must.Len(t, 1, table.Ends(7))
+	must.Len(t, 1, table.Ends(RequestCause(7)))
 	table.Expire(Retention+time.Minute, neverRefuted)
 	must.MapEmpty(t, table.records)
 	must.SliceEmpty(t, table.order)
 	must.SliceEmpty(t, table.Next(4))
-	must.SliceEmpty(t, table.Merge(Record{Fingerprint: 7, Ends: []End{{Endpoint: 1, At: 0}}}, Retention))
+	must.SliceEmpty(t, table.Merge(Record{Cause: RequestCause(7), Ends: []End{{Endpoint: 1, At: 0}}}, Retention))
 }
 
 // Tables that received the same evidence in any order, any number of times, and
@@ -153,9 +153,9 @@
 			to := tables[index.Draw(t, "to")]
 			switch rapid.IntRange(0, 2).Draw(t, "kind") {
 			case 0:
-				to.AddEnd(7, Incarnation(rapid.IntRange(0, 5).Draw(t, "endpoint")), now)
+				to.AddEnd(RequestCause(7), Incarnation(rapid.IntRange(0, 5).Draw(t, "endpoint")), now)
 			case 1:
-				to.AddCompletion(7, now)
+				to.AddAcquittal(RequestCause(7), now)
 			case 2:
 				for _, r := range tables[index.Draw(t, "from")].Next(1) {
 					to.Merge(r, now)
@@ -172,7 +172,7 @@
 			}
 		}
 		for _, other := range tables[1:] {
-			if got, want := ends(other, 7), ends(tables[0], 7); len(got) != len(want) {
+			if got, want := ends(other, RequestCause(7)), ends(tables[0], RequestCause(7)); len(got) != len(want) {
 				t.Fatalf("%v and %v", got, want)
 			}
 		}
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -47,9 +47,9 @@
 }
 
 func encodeCrash(c scheduler.Crash) *gossippb.Crash {
-	m := &gossippb.Crash{Fingerprint: c.Fingerprint}
-	if c.Completed {
-		m.CompletedAgeMs = proto.Uint32(uint32(c.CompletedAge.Milliseconds()))
+	m := &gossippb.Crash{Fingerprint: c.Cause.ID}
+	if c.Acquitted {
+		m.CompletedAgeMs = proto.Uint32(uint32(c.AcquittedAge.Milliseconds()))
 	}
 	for _, e := range c.Ends {
 		m.Ends = append(m.Ends, &gossippb.CrashEnd{Endpoint: uint64(e.Endpoint), AgeMs: uint32(e.Age.Milliseconds())})
@@ -59,8 +59,8 @@
 
 func decodeCrash(m *gossippb.Crash) scheduler.Crash {
 	c := scheduler.Crash{
-		Fingerprint: m.GetFingerprint(), Completed: m.CompletedAgeMs != nil,
-		CompletedAge: time.Duration(m.GetCompletedAgeMs()) * time.Millisecond,
+		Cause: crash.RequestCause(m.GetFingerprint()), Acquitted: m.CompletedAgeMs != nil,
+		AcquittedAge: time.Duration(m.GetCompletedAgeMs()) * time.Millisecond,
 	}
 	for _, e := range m.GetEnds() {
 		c.Ends = append(c.Ends, scheduler.CrashEnd{Endpoint: crash.Incarnation(e.GetEndpoint()), Age: time.Duration(e.GetAgeMs()) * time.Millisecond})
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/logline"
 	"github.com/balsamstair/balsamstair/internal/scheduler"
 	"github.com/shoenig/test/must"
@@ -19,9 +20,9 @@
 		Usage:   []scheduler.Usage{{Organisation: "org", Used: 12, Level: -3}},
 		Loads:   []scheduler.EndpointLoad{{Endpoint: "e", Running: 4, Prefill: 900}},
 		Crashes: []scheduler.Crash{
-			{Fingerprint: 99, Ends: []scheduler.CrashEnd{{Endpoint: 5, Age: 20 * time.Millisecond}, {Endpoint: 6, Age: 0}}},
-			{Fingerprint: 98, Completed: true, CompletedAge: 0},
-			{Fingerprint: 97, Completed: true, CompletedAge: 3 * time.Second, Ends: []scheduler.CrashEnd{{Endpoint: 7, Age: time.Second}}},
+			{Cause: crash.RequestCause(99), Ends: []scheduler.CrashEnd{{Endpoint: 5, Age: 20 * time.Millisecond}, {Endpoint: 6, Age: 0}}},
+			{Cause: crash.RequestCause(98), Acquitted: true, AcquittedAge: 0},
+			{Cause: crash.RequestCause(97), Acquitted: true, AcquittedAge: 3 * time.Second, Ends: []scheduler.CrashEnd{{Endpoint: 7, Age: time.Second}}},
 		},
 		Limits: []scheduler.LimitStatement{
 			{Endpoint: 8, Limit: scheduler.RateLimit{Named: true, PerSecond: 1.4}, SentAge: 30 * time.Millisecond, ReceivedAge: 20 * time.Millisecond},
--- a/internal/reducer/crash.go
+++ b/internal/reducer/crash.go
@@ -86,13 +86,13 @@
 
 // runCompleted drops the crashes counted for a request that has now completed.
 func (s *State) runCompleted(f uint64) {
-	if len(s.suspects.AddCompletion(f, crash.Time(s.now))) > 0 {
+	if len(s.suspects.AddAcquittal(crash.RequestCause(f), crash.Time(s.now))) > 0 {
 		s.broadcastCrashReport(f)
 	}
 }
 
 func (s *State) broadcastCrashReport(f uint64) {
-	if r, known := s.suspects.Get(f); known {
+	if r, known := s.suspects.Get(crash.RequestCause(f)); known {
 		for _, p := range s.livePeers() {
 			s.sendCrashReport(p.id, r)
 		}
@@ -108,10 +108,10 @@
 
 func (s *State) sendCrashReport(to Incarnation, r crash.Record) {
 	m := &peerpb.CrashReport{
-		Fingerprint: r.Fingerprint, Crashes: uint32(len(r.Ends)), ExpiresMs: uint32(crash.Retention / time.Millisecond),
+		Fingerprint: r.Cause.ID, Crashes: uint32(len(r.Ends)), ExpiresMs: uint32(crash.Retention / time.Millisecond),
 	}
-	if r.Completed {
-		m.CompletedAgeMs = proto.Uint32(s.ageMs(r.CompletedAt))
+	if r.Acquitted {
+		m.CompletedAgeMs = proto.Uint32(s.ageMs(r.AcquittedAt))
 	}
 	for _, e := range r.Ends {
 		m.Ends = append(m.Ends, &peerpb.CrashEnd{Endpoint: uint64(e.Endpoint), AgeMs: s.ageMs(e.At)})
@@ -170,10 +170,10 @@
 	e.brokenFingerprints = e.brokenFingerprints[:0]
 }
 
-func (s *State) isSuspect(f uint64) bool { return len(s.suspects.Ends(f)) > 0 }
+func (s *State) isSuspect(f uint64) bool { return len(s.suspects.Ends(crash.RequestCause(f))) > 0 }
 
 func (s *State) addCrash(f uint64, outage crash.Incarnation) {
-	if s.suspects.AddEnd(f, outage, crash.Time(s.now)) {
+	if s.suspects.AddEnd(crash.RequestCause(f), outage, crash.Time(s.now)) {
 		s.broadcastCrashReport(f)
 		s.declineSuspect(f)
 	}
@@ -197,18 +197,18 @@
 // crashReported merges the crashes that another instance knows.
 func (s *State) crashReported(m *peerpb.CrashReport) {
 	at := func(ageMs uint32) crash.Time { return crash.Time(s.now.Add(-time.Duration(ageMs) * time.Millisecond)) }
-	r := crash.Record{Fingerprint: m.GetFingerprint(), Completed: m.CompletedAgeMs != nil, CompletedAt: at(m.GetCompletedAgeMs())}
+	r := crash.Record{Cause: crash.RequestCause(m.GetFingerprint()), Acquitted: m.CompletedAgeMs != nil, AcquittedAt: at(m.GetCompletedAgeMs())}
 	for _, e := range m.GetEnds() {
 		r.Ends = append(r.Ends, crash.End{Endpoint: crash.Incarnation(e.GetEndpoint()), At: at(e.GetAgeMs())})
 	}
 	if len(s.suspects.Merge(r, crash.Time(s.now))) > 0 {
-		s.declineSuspect(r.Fingerprint)
+		s.declineSuspect(r.Cause.ID)
 	}
 }
 
 // refusedAsSuspect reports whether requests with the fingerprint are refused.
 func (s *State) refusedAsSuspect(f uint64) bool {
-	return !s.cfg.Guards.NoCrashIsolate && len(s.suspects.Ends(f)) >= refuseAfterCrashes
+	return !s.cfg.Guards.NoCrashIsolate && len(s.suspects.Ends(crash.RequestCause(f))) >= refuseAfterCrashes
 }
 
 // separatesSuspects reports whether a request can run on the endpoint without
@@ -235,7 +235,7 @@
 func (s *State) suspectFingerprints() []uint64 {
 	var all []uint64
 	for _, r := range s.suspects.All() {
-		all = append(all, r.Fingerprint)
+		all = append(all, r.Cause.ID)
 	}
 	slices.Sort(all)
 	return all
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -30,8 +30,8 @@
 
 // recordCrash records that e ended while it ran a request.
 func (s *State) recordCrash(e *endpoint, u unanswered) {
-	before := len(s.crashes.Ends(u.fingerprint))
-	if !s.crashes.AddEnd(u.fingerprint, e.incarnation(), crash.Time(u.at)) {
+	before := len(s.crashes.Ends(crash.RequestCause(u.fingerprint)))
+	if !s.crashes.AddEnd(crash.RequestCause(u.fingerprint), e.incarnation(), crash.Time(u.at)) {
 		return
 	}
 	s.count(CounterCrashes, "observed")
@@ -43,7 +43,7 @@
 
 // requestCompleted records that a request did not crash its endpoint.
 func (s *State) requestCompleted(r *request) {
-	if dropped := s.crashes.AddCompletion(r.Fingerprint, crash.Time(s.now)); len(dropped) >= loggedEnds {
+	if dropped := s.crashes.AddAcquittal(crash.RequestCause(r.Fingerprint), crash.Time(s.now)); len(dropped) >= loggedEnds {
 		s.log("crash_evidence_dropped", "request", r.Name, "fingerprint", FormatFingerprint(r.Fingerprint), "ends", len(dropped))
 	}
 }
@@ -51,7 +51,7 @@
 // endsAdded refuses the queued requests with a fingerprint if the ends added to
 // the given number have made it a suspect.
 func (s *State) endsAdded(fingerprint uint64, before int) {
-	if before >= crashThreshold || !s.crashes.Suspect(fingerprint) {
+	if before >= crashThreshold || !s.crashes.Suspect(crash.RequestCause(fingerprint)) {
 		return
 	}
 	s.log("crash_suspect", append([]any{"fingerprint", FormatFingerprint(fingerprint)}, s.crashBasis(fingerprint)...)...)
@@ -69,7 +69,7 @@
 // endpoints. Attempts here that may have crashed an endpoint, but are not
 // resolved yet, count if another one is known to have done so.
 func (s *State) crashSuspect(fingerprint uint64) bool {
-	ends := len(s.crashes.Ends(fingerprint))
+	ends := len(s.crashes.Ends(crash.RequestCause(fingerprint)))
 	return ends >= crashThreshold || ends > 0 && ends+s.unresolvedAt(fingerprint) >= crashThreshold
 }
 
@@ -118,9 +118,9 @@
 func (s *State) crashReport(records []crash.Record) []Crash {
 	var out []Crash
 	for _, r := range records {
-		c := Crash{Fingerprint: r.Fingerprint, Completed: r.Completed, CompletedAge: s.now.Sub(Instant(r.CompletedAt))}
-		if !r.Completed {
-			c.CompletedAge = 0
+		c := Crash{Cause: r.Cause, Acquitted: r.Acquitted, AcquittedAge: s.now.Sub(Instant(r.AcquittedAt))}
+		if !r.Acquitted {
+			c.AcquittedAge = 0
 		}
 		for _, e := range r.Ends {
 			c.Ends = append(c.Ends, CrashEnd{Endpoint: e.Endpoint, Age: s.now.Sub(Instant(e.At))})
@@ -134,25 +134,25 @@
 // idempotent, it does not matter whether the report is the newest.
 func (s *State) mergeCrashes(crashes []Crash, from string) {
 	for _, c := range crashes {
-		r := crash.Record{Fingerprint: c.Fingerprint, Completed: c.Completed, CompletedAt: crash.Time(s.now.Add(-c.CompletedAge))}
+		r := crash.Record{Cause: c.Cause, Acquitted: c.Acquitted, AcquittedAt: crash.Time(s.now.Add(-c.AcquittedAge))}
 		for _, e := range c.Ends {
 			end := crash.End{Endpoint: e.Endpoint, At: crash.Time(s.now.Add(-e.Age)), Source: from}
 			if !s.endRefuted(end) {
 				r.Ends = append(r.Ends, end)
 			}
 		}
-		before := len(s.crashes.Ends(c.Fingerprint))
+		before := len(s.crashes.Ends(c.Cause))
 		for _, e := range s.crashes.Merge(r, crash.Time(s.now)) {
-			s.endReported(c.Fingerprint, e)
+			s.endReported(c.Cause.ID, e)
 		}
-		s.endsAdded(c.Fingerprint, before)
+		s.endsAdded(c.Cause.ID, before)
 	}
 }
 
 // endReported counts and logs an end that another instance observed.
 func (s *State) endReported(fingerprint uint64, end crash.End) {
 	s.count(CounterCrashes, "reported")
-	if ends := len(s.crashes.Ends(fingerprint)); ends >= loggedEnds {
+	if ends := len(s.crashes.Ends(crash.RequestCause(fingerprint))); ends >= loggedEnds {
 		s.log("crash_reported", "fingerprint", FormatFingerprint(fingerprint), "from", end.Source,
 			"age_ms", s.now.Sub(Instant(end.At)).Milliseconds(), "ends", ends)
 	}
@@ -162,7 +162,7 @@
 // endpoint's incarnation, the age, and the instance that reported it.
 func (s *State) crashBasis(fingerprint uint64) []any {
 	var text []string
-	for _, e := range s.crashes.Ends(fingerprint) {
+	for _, e := range s.crashes.Ends(crash.RequestCause(fingerprint)) {
 		source := e.Source
 		if source == "" {
 			source = "observed"
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -50,7 +50,7 @@
 	queued := i.arrive(route("r", 0), func(q *Request) { q.Fingerprint = 666 })
 	must.False(t, i.running(queued))
 	i.step(PeerReported{Report: Report{Incarnation: 9, Sequence: 1, Address: "10.0.0.9:1",
-		Crashes: []Crash{{Fingerprint: 666, Ends: []CrashEnd{{Endpoint: 1}, {Endpoint: 2}, {Endpoint: 3}}}}}})
+		Crashes: []Crash{{Cause: crash.RequestCause(666), Ends: []CrashEnd{{Endpoint: 1}, {Endpoint: 2}, {Endpoint: 3}}}}}})
 	i.end(filler[0], Attempt{Outcome: Completed})
 	must.False(t, i.running(queued))
 	must.Eq(t, CrashSuspect, i.refusal(queued).Reason)
@@ -80,7 +80,7 @@
 		i.answerProbes(ProbeAccepted)
 		i.advance(100 * time.Millisecond)
 	}
-	must.SliceEmpty(t, i.s.crashes.Ends(666))
+	must.SliceEmpty(t, i.s.crashes.Ends(crash.RequestCause(666)))
 	must.True(t, i.running(i.arrive(route("r", 0), func(q *Request) { q.Fingerprint = 666 })))
 }
 
@@ -106,9 +106,9 @@
 				e := i.dispatched[id].Endpoint
 				i.end(id, Attempt{Outcome: outcome})
 				i.answerProbes(ProbeUnknown)
-				must.SliceEmpty(t, i.s.crashes.Ends(666))
+				must.SliceEmpty(t, i.s.crashes.Ends(crash.RequestCause(666)))
 				i.applyChanges(update(e))
-				must.Len(t, 1, i.s.crashes.Ends(666))
+				must.Len(t, 1, i.s.crashes.Ends(crash.RequestCause(666)))
 			})
 		}
 	}
@@ -125,7 +125,7 @@
 	i.advance(2 * pathProofWindow)
 	i.applyChanges(directory.Change{EndpointID: "e0"})
 	i.applyChanges(engine(0, 4))
-	must.SliceEmpty(t, i.s.crashes.Ends(666))
+	must.SliceEmpty(t, i.s.crashes.Ends(crash.RequestCause(666)))
 }
 
 // Guards against an end that is attributed to a request although its endpoint
@@ -139,7 +139,7 @@
 	must.True(t, i.running(later))
 	i.step(AnswerStarted{ID: later})
 	i.applyChanges(directory.Change{EndpointID: "e0"})
-	must.SliceEmpty(t, i.s.crashes.Ends(666))
+	must.SliceEmpty(t, i.s.crashes.Ends(crash.RequestCause(666)))
 
 	i = newServingInstance(t, 1, 4)
 	id := i.arrive(route("r", 0), func(q *Request) { q.Fingerprint = 666 })
@@ -148,7 +148,7 @@
 	leaving.Endpoint.Leaving = true
 	i.applyChanges(leaving)
 	i.applyChanges(directory.Change{EndpointID: "e0"})
-	must.SliceEmpty(t, i.s.crashes.Ends(666))
+	must.SliceEmpty(t, i.s.crashes.Ends(crash.RequestCause(666)))
 }
 
 // Guards against a partition that refuses connections and is taken for the end
@@ -160,25 +160,25 @@
 	i.breakAttempt(666)
 	i.answerProbes(ProbeRefused)
 	i.advance(2 * pathProofWindow)
-	must.SliceEmpty(t, i.s.crashes.Ends(666))
+	must.SliceEmpty(t, i.s.crashes.Ends(crash.RequestCause(666)))
 	other := Report{Incarnation: 8, Sequence: 1, Address: "10.0.0.8:1", Zone: "b"}
 	i.step(PeerReported{Report: other})
-	must.SliceEmpty(t, i.s.crashes.Ends(666))
+	must.SliceEmpty(t, i.s.crashes.Ends(crash.RequestCause(666)))
 	// The partition has ended: the endpoint may have lived on behind it.
 	report.Sequence++
 	i.step(PeerReported{Report: report})
-	must.SliceEmpty(t, i.s.crashes.Ends(666))
+	must.SliceEmpty(t, i.s.crashes.Ends(crash.RequestCause(666)))
 
 	i.breakAttempt(666)
 	i.answerProbes(ProbeRefused)
 	// This report may have been sent before the partition began.
 	report.Sequence++
 	i.step(PeerReported{Report: report})
-	must.SliceEmpty(t, i.s.crashes.Ends(666))
+	must.SliceEmpty(t, i.s.crashes.Ends(crash.RequestCause(666)))
 	i.advance(pathProofDelay)
 	report.Sequence++
 	i.step(PeerReported{Report: report})
-	must.Len(t, 1, i.s.crashes.Ends(666))
+	must.Len(t, 1, i.s.crashes.Ends(crash.RequestCause(666)))
 }
 
 // Guards against a partitioned zone whose endpoints all lose their entries and
@@ -196,7 +196,7 @@
 			i.step(PeerReported{Report: report})
 		}
 		i.applyChanges(directory.Change{EndpointID: "e0"})
-		must.Eq(t, partitioned, len(i.s.crashes.Ends(666)) == 0)
+		must.Eq(t, partitioned, len(i.s.crashes.Ends(crash.RequestCause(666))) == 0)
 	}
 }
 
@@ -204,7 +204,7 @@
 // evidence makes all others refuse a request.
 func TestEndOfEndpointThatLivesOnIsRefuted(t *testing.T) {
 	ends := func(age time.Duration) []Crash {
-		c := Crash{Fingerprint: 666}
+		c := Crash{Cause: crash.RequestCause(666)}
 		for _, e := range engines(3, 4) {
 			c.Ends = append(c.Ends, CrashEnd{Endpoint: crash.IncarnationOf(e.Endpoint.ID, e.Endpoint.Started), Age: age})
 		}
@@ -263,7 +263,7 @@
 		if report.Report.Partial {
 			must.Len(t, 9, report.To)
 			for _, c := range report.Report.Crashes {
-				noticed[c.Fingerprint] = true
+				noticed[c.Cause.ID] = true
 			}
 		}
 	}
@@ -278,7 +278,7 @@
 		late.step(PeerReported{Report: report})
 	}
 	for f := range uint64(30) {
-		must.Len(t, 1, late.s.crashes.Ends(f))
+		must.Len(t, 1, late.s.crashes.Ends(crash.RequestCause(f)))
 	}
 }
 
@@ -310,7 +310,7 @@
 	}
 	queued := i.arrive(route("r", 0), func(q *Request) { q.Fingerprint = 666 })
 	i.step(PeerReported{Report: Report{Incarnation: 9, Sequence: 1, Address: "10.0.0.9:1",
-		Crashes: []Crash{{Fingerprint: 666, Ends: []CrashEnd{{Endpoint: 1}, {Endpoint: 2}, {Endpoint: 3}, {Endpoint: 4}, {Endpoint: 5}}}}}})
+		Crashes: []Crash{{Cause: crash.RequestCause(666), Ends: []CrashEnd{{Endpoint: 1}, {Endpoint: 2}, {Endpoint: 3}, {Endpoint: 4}, {Endpoint: 5}}}}}})
 	must.Eq(t, CrashSuspect, i.refusal(queued).Reason)
 }
 
@@ -321,9 +321,9 @@
 	report := Report{Incarnation: 9, Sequence: 2, Address: "10.0.0.9:1"}
 	i.step(PeerReported{Report: report})
 	report.Sequence, report.Partial = 1, true
-	report.Crashes = []Crash{{Fingerprint: 666, Ends: []CrashEnd{{Endpoint: 1}}}}
+	report.Crashes = []Crash{{Cause: crash.RequestCause(666), Ends: []CrashEnd{{Endpoint: 1}}}}
 	i.step(PeerReported{Report: report})
-	must.Len(t, 1, i.s.crashes.Ends(666))
+	must.Len(t, 1, i.s.crashes.Ends(crash.RequestCause(666)))
 }
 
 // Guards against a retry that ends a fourth endpoint while it is not yet known
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -198,7 +198,7 @@
 	Members []string
 	Usage   []Usage
 	Loads   []EndpointLoad
-	// Crashes lists some of the requests under which endpoints ended.
+	// Crashes lists some of the causes under which endpoints ended.
 	Crashes []Crash
 	// Limits lists some of the rate limits that endpoints named or lifted.
 	Limits []LimitStatement
@@ -225,14 +225,14 @@
 	Prefill int
 }
 
-// Crash is the evidence against one request.
+// Crash is the evidence against one cause.
 type Crash struct {
-	Fingerprint uint64
-	Ends        []CrashEnd
-	// CompletedAge is the time since a run of the request completed, if Completed
-	// is set.
-	Completed    bool
-	CompletedAge time.Duration
+	Cause crash.Cause
+	Ends  []CrashEnd
+	// AcquittedAge is the time since a run with the cause was sound, if Acquitted is
+	// set.
+	Acquitted    bool
+	AcquittedAge time.Duration
 }
 
 // CrashEnd is the end of an endpoint while it ran a request.
