Scheduler: evidence of crashes is kept for parts of prompts too

Cause: evidence was kept under one name, the whole request. Requests that share only a part never add up, and each is sent on until it has ended three engines itself.

Change: an end counts against each cause of the requests that were there and had not received a second event: the request, and every part of its prompt but the last. A run that receives a second event acquits all of its causes of the ends before, and tells others that suspect them. Three ends make a suspect: requests with it are held 0.25 s for the proof of other runs, then one of them is sent, by one instance at a time; only its end convicts. A suspect whose ends another one explains, and that is met without the other, is tried too. Convicted causes are refused at once, and tried again 20 s after the last end, then ever more rarely. Requests with attempts that are not resolved are held in place of being refused.

Why it works: the guilty part is a candidate at every end and never acquitted, while parts that sound requests share are acquitted with each of their runs. Engines that end together for another reason leave no part without a sound run once they are back.

A stream without length or chunks that ends with its connection before the first event is no complete answer; one of a single event acquits nothing.

A retry whose last attempt is not resolved is now held, neither sent nor refused, where it was refused before. Heavy simulations run in parallel.

--- a/internal/crash/table.go
+++ b/internal/crash/table.go
@@ -9,17 +9,20 @@
 )
 
 const (
-	// Retention is how long an end counts.
+	// Retention is how long an end counts if its cause is no suspect.
 	Retention = 10 * time.Minute
+	// TrialRetention is how long after the last end a suspect is kept where trials
+	// end the suspicion. It is longer than the longest time between two trials.
+	TrialRetention = 2 * MaxTrialInterval
 	// acquittalRetention is how long a sound run is remembered if its cause has no
 	// later end. It is long compared with the time in which other instances learn
 	// of the run and drop the ends before it.
 	acquittalRetention = time.Minute
 	// maxEnds limits the number of ends kept for one cause.
-	maxEnds = 6
+	maxEnds = 8
 	// recentAcquittals is the number of causes without evidence of which a sound run
 	// is remembered.
-	recentAcquittals = 256
+	recentAcquittals = 1024
 )
 
 // Time is a point in time on the monotonic clock of this instance.
@@ -57,6 +60,8 @@
 // Table holds the records by cause. It is not safe for concurrent use.
 type Table struct {
 	threshold, limit int
+	// suspectRetention is how long after the last end a suspect is kept.
+	suspectRetention time.Duration
 	records          map[Cause]*Record
 	// order holds the causes of the records in the order in which they are reported;
 	// cursor is the index of the next one.
@@ -68,9 +73,9 @@
 }
 
 // NewTable returns an empty Table of at most limit causes, in which threshold ends
-// make a cause a suspect.
-func NewTable(threshold, limit int) *Table {
-	return &Table{threshold: threshold, limit: limit, records: map[Cause]*Record{}, acquittals: acquittalRing{at: map[Cause]Time{}}}
+// make a cause a suspect. A suspect is kept for suspectRetention after the last one.
+func NewTable(threshold, limit int, suspectRetention time.Duration) *Table {
+	return &Table{threshold: threshold, limit: limit, suspectRetention: suspectRetention, records: map[Cause]*Record{}, acquittals: acquittalRing{at: map[Cause]Time{}}}
 }
 
 // Ends returns the ends that count for a cause. The result must not be
@@ -111,7 +116,7 @@
 	if !t.add(cause, End{Endpoint: endpoint, At: at}) {
 		return false
 	}
-	t.markChanged(cause)
+	t.Announce(cause)
 	return true
 }
 
@@ -124,11 +129,22 @@
 		return nil
 	}
 	if t.Suspect(cause) {
-		t.markChanged(cause)
+		t.Announce(cause)
 	}
 	return r.acquit(at)
 }
 
+// Suspects returns the records of the suspects.
+func (t *Table) Suspects() []Record {
+	var out []Record
+	for _, c := range t.order {
+		if t.Suspect(c) {
+			out = append(out, t.records[c].copy())
+		}
+	}
+	return out
+}
+
 // acquit drops the ends up to a sound run and returns them.
 func (r *Record) acquit(at Time) []End {
 	if r.Acquitted && r.AcquittedAt >= at {
@@ -147,19 +163,41 @@
 	return dropped
 }
 
-// Merge adds the evidence of another instance and returns the ends that were
-// not known before.
-func (t *Table) Merge(other Record, now Time) []End {
-	if r := t.records[other.Cause]; r != nil && other.Acquitted {
-		r.acquit(other.AcquittedAt)
+// Merge adds the evidence of another instance. It returns the ends that were not
+// known before, and whether the other instance counts ends that a sound run known
+// here outweighs.
+func (t *Table) Merge(other Record, now Time) (added []End, outdated bool) {
+	if other.Acquitted {
+		t.acquittals.add(other.Cause, other.AcquittedAt)
+		if r := t.records[other.Cause]; r != nil {
+			r.acquit(other.AcquittedAt)
+		}
+	}
+	acquittedAt, acquitted := t.acquittals.at[other.Cause]
+	if r := t.records[other.Cause]; r != nil {
+		acquittedAt, acquitted = r.AcquittedAt, r.Acquitted
 	}
-	var added []End
 	for _, e := range other.Ends {
-		if now-e.At < Retention && t.add(other.Cause, e) {
+		switch {
+		case acquitted && e.At <= acquittedAt:
+			outdated = true
+			if t.records[other.Cause] == nil {
+				// The sound run has to be reported to those that know of the end.
+				t.insert(other.Cause)
+			}
+		case now-e.At < t.retention(other.Ends) && t.add(other.Cause, e):
 			added = append(added, e)
 		}
 	}
-	return added
+	return added, outdated
+}
+
+// retention returns how long the ends of a record count.
+func (t *Table) retention(ends []End) time.Duration {
+	if len(ends) >= t.threshold {
+		return t.suspectRetention
+	}
+	return Retention
 }
 
 // add adds an end unless it is known or precedes a sound run. Of two times
@@ -178,10 +216,21 @@
 			return false
 		}
 	}
-	if len(r.Ends) >= maxEnds {
+	if len(r.Ends) < maxEnds {
+		r.Ends = append(r.Ends, e)
+		return true
+	}
+	// The newest ends decide when the next trial is due.
+	oldest := 0
+	for k := range r.Ends {
+		if r.Ends[k].At < r.Ends[oldest].At {
+			oldest = k
+		}
+	}
+	if e.At <= r.Ends[oldest].At {
 		return false
 	}
-	r.Ends = append(r.Ends, e)
+	r.Ends[oldest] = e
 	return true
 }
 
@@ -200,10 +249,13 @@
 // evict removes the oldest of the records with the fewest ends.
 func (t *Table) evict() {
 	least := 0
-	for k, f := range t.order {
-		if len(t.records[f].Ends) < len(t.records[t.order[least]].Ends) {
+	for k, c := range t.order {
+		if len(t.records[c].Ends) < len(t.records[t.order[least]].Ends) {
 			least = k
 		}
+		if len(t.records[t.order[least]].Ends) <= 1 {
+			break
+		}
 	}
 	delete(t.records, t.order[least])
 	t.removeFromOrder(least)
@@ -216,12 +268,16 @@
 	}
 }
 
-// Expire removes the ends after Retention and those that are refuted, and
-// records without evidence.
+// Expire removes the ends that have been kept long enough and those that are
+// refuted, and records without evidence. A suspect keeps all of its ends until the
+// last one expires.
 func (t *Table) Expire(now Time, refuted func(End) bool) {
 	for k := len(t.order) - 1; k >= 0; k-- {
 		r := t.records[t.order[k]]
-		r.Ends = slices.DeleteFunc(r.Ends, func(e End) bool { return now-e.At >= Retention || refuted(e) })
+		r.Ends = slices.DeleteFunc(r.Ends, refuted)
+		if len(r.Ends) < t.threshold || now-r.LastEnd() >= t.suspectRetention {
+			r.Ends = slices.DeleteFunc(r.Ends, func(e End) bool { return now-e.At >= Retention })
+		}
 		if len(r.Ends) == 0 && (!r.Acquitted || now-r.AcquittedAt >= acquittalRetention) {
 			delete(t.records, r.Cause)
 			t.removeFromOrder(k)
@@ -229,7 +285,8 @@
 	}
 }
 
-func (t *Table) markChanged(cause Cause) {
+// Announce makes TakeChanged return the record of a cause again.
+func (t *Table) Announce(cause Cause) {
 	if !slices.Contains(t.changed, cause) {
 		t.changed = append(t.changed, cause)
 	}
@@ -260,6 +317,25 @@
 	return out
 }
 
+// LastEnd returns the time of the newest end, or zero if there is none.
+func (r *Record) LastEnd() Time {
+	last := Time(0)
+	for _, e := range r.Ends {
+		last = max(last, e.At)
+	}
+	return last
+}
+
+// Explains reports whether every end of other is one of r.
+func (r *Record) Explains(other Record) bool {
+	for _, e := range other.Ends {
+		if !slices.ContainsFunc(r.Ends, func(own End) bool { return own.Endpoint == e.Endpoint }) {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *Record) copy() Record {
 	out := *r
 	out.Ends = slices.Clone(r.Ends)
@@ -274,10 +350,11 @@
 }
 
 func (c *acquittalRing) add(cause Cause, at Time) {
-	if _, known := c.at[cause]; !known {
+	last, known := c.at[cause]
+	if !known {
 		delete(c.at, c.ring[c.next])
 		c.ring[c.next] = cause
 		c.next = (c.next + 1) % recentAcquittals
 	}
-	c.at[cause] = at
+	c.at[cause] = max(last, at)
 }
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -96,6 +96,9 @@
 	// HTTP; otherwise it returns an error that wraps ErrIncomplete. Closing a
 	// body before its end closes the connection.
 	Body io.ReadCloser
+	// CloseDelimited is set if only the close of the connection marks the end of the
+	// body.
+	CloseDelimited bool
 	// Reused reports whether the connection carried another request before.
 	Reused bool
 }
@@ -176,10 +179,11 @@
 		body.complete()
 	}
 	return &Answer{
-		Status: response.StatusCode,
-		Header: response.Header,
-		Body:   body,
-		Reused: c.reused,
+		Status:         response.StatusCode,
+		Header:         response.Header,
+		Body:           body,
+		CloseDelimited: isCloseDelimited(response),
+		Reused:         c.reused,
 	}
 }
 
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -18,6 +18,7 @@
 
 var (
 	errEventTooLarge = errors.New("gateway: event exceeds the size limit")
+	errNoEvents      = errors.New("gateway: stream ended with its connection before the first event")
 	errEventOrder    = errors.New("gateway: event id does not follow the previous one")
 )
 
@@ -35,7 +36,9 @@
 	// eventCount is the number of events with an id received on the current
 	// connection. connFirstAt is when its first events were forwarded,
 	// lastForwardedAt when the last ones were.
-	eventCount                   int
+	eventCount int
+	// received is the number of all events received on the current connection.
+	received                     int
 	connFirstAt, lastForwardedAt time.Time
 	// firstForwardedAt is when the first event of all connections was
 	// forwarded. longestGap is the longest time between two forwards since.
@@ -49,7 +52,7 @@
 // forwarded.
 func (c *eventCopier) copy(body io.Reader, forward func([]byte) error) error {
 	c.buffer = c.buffer[:0]
-	c.eventCount = 0
+	c.eventCount, c.received = 0, 0
 	for {
 		if cap(c.buffer)-len(c.buffer) < readBytes {
 			c.buffer = append(make([]byte, 0, 2*cap(c.buffer)+readBytes), c.buffer...)
@@ -87,6 +90,7 @@
 			break
 		}
 		end += i + len(eventTerminator)
+		c.received++
 	}
 	if end > 0 {
 		if err := forward(c.buffer[:end]); err != nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -216,12 +216,16 @@
 func (x *exchange) forwardStream(answer *endpoint.Answer, sent time.Time, a *scheduler.Attempt) {
 	defer answer.Body.Close()
 	x.events.connFirstAt = time.Time{}
-	notified := false
+	started, continued := false, false
 	err := x.events.copy(answer.Body, func(events []byte) error {
-		if !notified {
-			notified = true
+		if !started {
+			started = true
 			x.h.post(scheduler.AnswerStarted{ID: x.id})
 		}
+		if !continued && x.events.received > 1 {
+			continued = true
+			x.h.post(scheduler.AnswerContinued{ID: x.id})
+		}
 		if !x.answerStarted {
 			x.startAnswer(answer.Status, answer.Header)
 		}
@@ -235,6 +239,11 @@
 		a.EventInterval = x.events.meanInterval()
 	}
 	a.AnswerStarted = x.answerStarted
+	a.Inconclusive = answer.CloseDelimited
+	if err == nil && answer.CloseDelimited && x.events.received == 0 && x.events.lastID == 0 {
+		// An endpoint that ends before its first event closes the connection too.
+		err = errNoEvents
+	}
 	switch {
 	case err == nil:
 		a.Outcome = scheduler.Completed
@@ -255,6 +264,8 @@
 	defer answer.Body.Close()
 	body, ended, err := readUpTo(answer.Body, maxBufferedAnswerBytes)
 	a.FirstByte = time.Since(sent)
+	a.Inconclusive = answer.CloseDelimited
+	a.ErrorAnswer = answer.Status >= http.StatusBadRequest
 	switch {
 	case err != nil && x.ctx.Err() != nil:
 		a.Outcome = scheduler.Abandoned
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -47,7 +47,7 @@
 }
 
 func encodeCrash(c scheduler.Crash) *gossippb.Crash {
-	m := &gossippb.Crash{Fingerprint: c.Cause.ID}
+	m := &gossippb.Crash{Fingerprint: c.Cause.ID, Service: c.Cause.Service}
 	if c.Acquitted {
 		m.CompletedAgeMs = proto.Uint32(uint32(c.AcquittedAge.Milliseconds()))
 	}
@@ -59,7 +59,7 @@
 
 func decodeCrash(m *gossippb.Crash) scheduler.Crash {
 	c := scheduler.Crash{
-		Cause: crash.RequestCause(m.GetFingerprint()), Acquitted: m.CompletedAgeMs != nil,
+		Cause: crash.Cause{Service: m.GetService(), ID: m.GetFingerprint()}, Acquitted: m.CompletedAgeMs != nil,
 		AcquittedAge: time.Duration(m.GetCompletedAgeMs()) * time.Millisecond,
 	}
 	for _, e := range m.GetEnds() {
--- a/internal/reducer/crash.go
+++ b/internal/reducer/crash.go
@@ -201,7 +201,7 @@
 	for _, e := range m.GetEnds() {
 		r.Ends = append(r.Ends, crash.End{Endpoint: crash.Incarnation(e.GetEndpoint()), At: at(e.GetAgeMs())})
 	}
-	if len(s.suspects.Merge(r, crash.Time(s.now))) > 0 {
+	if added, _ := s.suspects.Merge(r, crash.Time(s.now)); len(added) > 0 {
 		s.declineSuspect(r.Cause.ID)
 	}
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -191,7 +191,7 @@
 		byCallerKey:     map[uint64]RequestID{},
 		records:         map[RequestID]*record{},
 		buckets:         map[string]*bucket{},
-		suspects:        crash.NewTable(refuseAfterCrashes, MaxSuspects),
+		suspects:        crash.NewTable(refuseAfterCrashes, MaxSuspects, crash.Retention),
 		meanOutputs:     map[outputKey]float64{},
 		decisions:       newDecisionLog(),
 		fileRequestedAt: math.MinInt64 / 2,
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -107,7 +107,8 @@
 	// LimitReached means that all endpoints limit the rate of requests and that
 	// more urgent requests use it up.
 	LimitReached Reason = "limit_reached"
-	// CrashSuspect means that endpoints have ended while they ran equal requests.
+	// CrashSuspect means that endpoints have ended while they ran equal requests, or
+	// requests with the same part of their prompts.
 	CrashSuspect Reason = "crash_suspect"
 	// AttemptsUsed means that the route allows no further attempt.
 	AttemptsUsed Reason = "attempts_used"
@@ -141,6 +142,9 @@
 	// reported.
 	CounterEndpointEnds Counter = "routed_endpoint_ends_total"
 	CounterCrashes      Counter = "routed_crashes_total"
+	// CounterSuspects counts causes of crashes by what became of the suspicion:
+	// suspected, acquitted, tried.
+	CounterSuspects Counter = "routed_crash_suspects_total"
 	// CounterLimitStatements counts what endpoints said about their rate limits,
 	// by observed, reported or malformed.
 	CounterLimitStatements Counter = "routed_limit_statements_total"
--- a/internal/scheduler/endpoint_end.go
+++ b/internal/scheduler/endpoint_end.go
@@ -34,6 +34,7 @@
 type unanswered struct {
 	fingerprint uint64
 	parts       []PromptPart
+	causes      []crash.Cause
 	request     string
 	at          Instant
 	// broken is set if the connection failed, as opposed to a caller that left or
@@ -66,19 +67,27 @@
 	return crash.IncarnationOf(entry.ID, entry.Started)
 }
 
-// attemptUnanswered records an attempt without a complete answer. A broken
-// connection alone is no evidence that the endpoint ended, so a new connection
-// is tried.
+// attemptUnanswered records an attempt without a complete answer. It is evidence
+// against its request only if the answer had not begun: a request that crashes
+// its endpoint does so as the endpoint begins to run it. A broken connection alone
+// is no evidence that the endpoint ended, so a new connection is tried.
 func (s *State) attemptUnanswered(e *endpoint, r *request, a Attempt) {
-	if e.endedAt != 0 {
-		s.recordCrash(e, unanswered{fingerprint: r.Fingerprint, parts: r.PromptParts, request: r.Name, at: s.now})
-		return
+	broken := a.Outcome == Broken
+	u := unanswered{
+		fingerprint: r.Fingerprint, parts: r.PromptParts, causes: r.causes, request: r.Name, at: s.now, broken: broken,
 	}
-	if len(e.unanswered) >= maxUnanswered {
-		e.unanswered = e.unanswered[1:]
+	switch {
+	case e.endedAt != 0 && !r.begun:
+		s.recordCrash(e, u)
+		return
+	case e.endedAt != 0:
+		return
+	case !r.begun:
+		if len(e.unanswered) >= maxUnanswered {
+			e.unanswered = e.unanswered[1:]
+		}
+		e.unanswered = append(e.unanswered, u)
 	}
-	broken := a.Outcome == Broken
-	e.unanswered = append(e.unanswered, unanswered{fingerprint: r.Fingerprint, parts: r.PromptParts, request: r.Name, at: s.now, broken: broken})
 	s.withUnanswered[e.incarnation()] = e
 	if (broken || e.entryRemoved && !a.AnswerStarted) && !e.probing {
 		e.probing = true
@@ -107,6 +116,7 @@
 		return
 	}
 	e.probing = false
+	s.evidenceChanged = true
 	switch ev.Result {
 	case ProbeRefused:
 		s.connectionRefused(e)
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -83,6 +83,9 @@
 	EventInterval time.Duration
 	// AnswerStarted reports whether part of the answer was delivered to the caller.
 	AnswerStarted bool
+	// Inconclusive is set for a complete answer whose end can't be told from that of
+	// its endpoint. ErrorAnswer is set for one that reports an error.
+	Inconclusive, ErrorAnswer bool
 	// Refused reports whether the endpoint's address refused the connection.
 	Refused bool
 }
@@ -122,6 +125,9 @@
 	CallerGone struct{ ID RequestID }
 	// AnswerStarted reports that the first event of a stream was received.
 	AnswerStarted struct{ ID RequestID }
+	// AnswerContinued reports that the second event of a stream was received, so
+	// that the request has not crashed its endpoint.
+	AnswerContinued struct{ ID RequestID }
 	// AnswerReceived reports the head of an endpoint's answer if it names a rate
 	// limit, or if the request was dispatched while one was in force.
 	AnswerReceived struct {
@@ -152,17 +158,18 @@
 	Tick struct{}
 )
 
-func (Arrived) event()        {}
-func (CallerGone) event()     {}
-func (AnswerStarted) event()  {}
-func (AnswerReceived) event() {}
-func (AttemptEnded) event()   {}
-func (DirectoryRead) event()  {}
-func (EndpointProbed) event() {}
-func (PeerReported) event()   {}
-func (SeedsChanged) event()   {}
-func (StopRequested) event()  {}
-func (Tick) event()           {}
+func (Arrived) event()         {}
+func (CallerGone) event()      {}
+func (AnswerStarted) event()   {}
+func (AnswerContinued) event() {}
+func (AnswerReceived) event()  {}
+func (AttemptEnded) event()    {}
+func (DirectoryRead) event()   {}
+func (EndpointProbed) event()  {}
+func (PeerReported) event()    {}
+func (SeedsChanged) event()    {}
+func (StopRequested) event()   {}
+func (Tick) event()            {}
 
 // TickInterval is the time between Tick events. It is the resolution of the
 // scheduler's timeouts.
--- a/internal/scheduler/limit_test.go
+++ b/internal/scheduler/limit_test.go
@@ -12,6 +12,7 @@
 // Guards against an endpoint that gets more requests than the rate limit that it
 // names, because each instance knows and counts only its own.
 func TestEndpointLimitHoldsAcrossInstances(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ instances, engines, slots int }{{6, 18, 10}, {84, 90, 6}} {
 		for _, perSecond := range []float64{1.4, 2, 6} {
 			t.Run(fmt.Sprintf("%d instances, %v a second", size.instances, perSecond), func(t *testing.T) {
@@ -47,6 +48,7 @@
 // Guards against an endpoint that is spared after its limit has ended, because
 // only the instance that heard of it last knows, or because nobody asks it.
 func TestEndpointIsUsedAgainAfterLimitIsLifted(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct {
 		instances, engines, slots int
 		limits                    []float64
@@ -91,6 +93,7 @@
 // Guards against requests that wait in vain, or less urgent ones that are served
 // first, if all endpoints of a service have limits: their sum is what it can do.
 func TestLeastUrgentAreRefusedIfAllEndpointsHaveLimits(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		instances, engines, slots int
 		perSecond                 float64
@@ -138,6 +141,7 @@
 // Drawn schedules of kills, pauses, restarts and partitions, with lost reports,
 // while engines name, change and lift limits.
 func TestLimitHoldsThroughFaults(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ instances, engines, slots, seeds int }{{6, 18, 10, 30}, {12, 18, 10, 15}, {84, 90, 6, 1}} {
 		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
 			t.Parallel()
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -251,6 +251,7 @@
 	s.members.byAddress[r.Address] = x
 	s.members.membershipChanged()
 	s.sendLimits([]string{r.Address}, s.limits)
+	s.sendCrashes([]string{r.Address}, firstN(s.crashes.Suspects(), maxNoticedCrashes))
 	s.log("instance_joined", "address", r.Address, "incarnation", r.Incarnation, "age_ms", r.Age.Milliseconds())
 	return x
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -12,7 +12,10 @@
 	// endpoints are sorted by ID.
 	endpoints []*endpoint
 	// waiting is sorted by rank, then by arrival.
-	waiting      []*request
+	waiting []*request
+	// held holds the requests that wait for evidence against their causes, in order
+	// of arrival.
+	held         []*request
 	latencyMeans map[latencyKey]float64
 	budget       budget
 	// arrivals and dispatches are moving averages of this instance's requests.
@@ -72,7 +75,9 @@
 }
 
 func (p *pool) dequeue(r *request) {
-	p.waiting = slices.DeleteFunc(p.waiting, func(x *request) bool { return x == r })
+	same := func(x *request) bool { return x == r }
+	p.waiting = slices.DeleteFunc(p.waiting, same)
+	p.held = slices.DeleteFunc(p.held, same)
 }
 
 const (
@@ -126,9 +131,15 @@
 			p.sinceLowestRank = 0
 		}
 		p.dequeue(r)
-		if s.crashSuspect(r.Fingerprint) {
+		switch v, _ := s.judge(r); v {
+		case convicted:
 			s.refuseHeld(r, CrashSuspect)
 			continue
+		case awaitingProof:
+			p.hold(r)
+			continue
+		case onTrial:
+			s.beginTrial(r)
 		}
 		s.dispatch(r, e)
 	}
--- a/internal/scheduler/quota_test.go
+++ b/internal/scheduler/quota_test.go
@@ -154,6 +154,7 @@
 // over the instances, while instances are restarted, partitioned and
 // reconnected. The limit on the total must hold in every window.
 func TestQuotaHoldsUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(30) {
 		f := newFleet(t, 6, seed)
 		demand := make([]float64, len(f.instances))
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/balsamstair/balsamstair/internal/crash"
 )
 
 // request is the state of a request from its admission to its end.
@@ -21,6 +23,14 @@
 	dispatched Instant
 	// mayHaveRun is set once an endpoint may have started to run the request.
 	mayHaveRun bool
+	// causes are what may make an endpoint end that runs the request.
+	causes []crash.Cause
+	// begun is set once the current attempt has shown that the request does not
+	// crash its endpoint.
+	begun bool
+	// trial is set while the request is at an endpoint although it has a suspect,
+	// trialFailed once such an attempt broke.
+	trial, trialFailed bool
 	// charged is the cost charged to the organisation's quota.
 	charged float64
 }
@@ -50,7 +60,7 @@
 
 // arrived admits and queues a new request, or refuses it.
 func (s *State) arrived(q Request) {
-	r := &request{Request: q, arrived: s.now, queued: s.now}
+	r := &request{Request: q, arrived: s.now, queued: s.now, causes: causesOf(q)}
 	s.count(CounterArrivals, q.Service)
 	p := s.pool(q.Service)
 	p.lastArrival = s.now
@@ -77,7 +87,7 @@
 	switch {
 	case r.Organisation != nil && (s.configStale() || !s.keyStillValid(r)):
 		return ConfigStale, s.retryAfter(r)
-	case s.crashSuspect(r.Fingerprint):
+	case s.isConvicted(r):
 		return CrashSuspect, 0
 	case !s.hasAvailableEndpoint(p):
 		return NoEndpoint, s.retryAfter(r)
@@ -121,6 +131,7 @@
 	e.ownRunning++
 	e.ownPrefill += r.PromptTokens
 	r.prefilling = true
+	r.begun = false
 	s.pool(r.Service).dispatches.add(1)
 	s.loadChanged(e)
 	if e.limited() {
@@ -143,6 +154,15 @@
 	}
 }
 
+// answerContinued records that the request does not crash its endpoint.
+func (s *State) answerContinued(id RequestID) {
+	if r := s.requests[id]; r != nil && r.endpoint != nil {
+		r.begun = true
+		s.requestSound(r)
+		s.endTrial(r)
+	}
+}
+
 func (r *request) endPrefill() {
 	if r.prefilling {
 		r.endpoint.ownPrefill -= r.PromptTokens
@@ -177,6 +197,7 @@
 
 // removeRequest ends a request and refunds its charge if it never ran.
 func (s *State) removeRequest(r *request) {
+	s.endTrial(r)
 	if !r.mayHaveRun {
 		s.refund(r)
 	}
@@ -200,8 +221,8 @@
 		}
 	}
 	out := []any{"waiting", len(p.waiting), "endpoints", len(p.endpoints), "usable", usable, "instances", 1 + len(s.members.byAddress)}
-	if s.crashSuspect(r.Fingerprint) {
-		out = append(out, s.crashBasis(r.Fingerprint)...)
+	if v, cause := s.judge(r); v != cleared {
+		out = append(out, s.crashBasis(cause)...)
 	}
 	if r.Organisation == nil {
 		return out
@@ -218,6 +239,8 @@
 	retry := time.Duration(0)
 	switch {
 	case r.mayHaveRun:
+	case reason == CrashSuspect:
+		// The suspicion outlasts every caller's deadline.
 	case reason == LimitReached:
 		retry = s.limitedRetryAfter(r)
 	default:
@@ -240,6 +263,10 @@
 		r.mayHaveRun = true
 	}
 	s.updateCrashEvidence(e, r, a)
+	if r.trial && (a.Outcome == Broken || a.Outcome == Abandoned) {
+		r.trialFailed = !r.begun
+	}
+	s.endTrial(r)
 	if a.Outcome == Completed || a.Outcome == Abandoned {
 		s.removeRequest(r)
 	} else {
@@ -256,7 +283,13 @@
 		s.attemptUnanswered(e, r, a)
 	case Completed:
 		s.endpointAnswered(e, r.dispatched)
-		s.requestCompleted(r)
+		switch {
+		case r.begun:
+		case a.Inconclusive:
+			s.attemptUnanswered(e, r, a)
+		case !a.ErrorAnswer:
+			s.requestSound(r)
+		}
 	case NotRun, Failed:
 		s.endpointAnswered(e, r.dispatched)
 	case NotSent, Misdirected:
@@ -298,7 +331,7 @@
 			return EndpointsFull
 		}
 		return AttemptsUsed
-	case s.crashSuspect(r.Fingerprint):
+	case s.isConvicted(r):
 		return CrashSuspect
 	case !p.budget.allowsRetry(s.now, s.cfg.Bounds, s.members.shareCount(s.now)):
 		return RetryBudgetUsed
@@ -314,7 +347,7 @@
 		if limited {
 			rate = s.limitedRate(p)
 		}
-		for _, r := range p.waiting {
+		for _, r := range slices.Concat(p.waiting, p.held) {
 			deadline := r.queueDeadline(maxQueueTime(r.Route.Target))
 			if limited {
 				deadline = r.queueDeadline(r.limitedWait(rate))
--- a/internal/scheduler/simulation_part_test.go
+++ b/internal/scheduler/simulation_part_test.go
@@ -156,6 +156,17 @@
 	})
 }
 
+// proceed delivers the second event of a stream.
+func (p *simParts) proceed(f *simulation, e *simEngine, job simJob) {
+	if p != nil {
+		f.after(simEventInterval, func() {
+			if !e.down {
+				f.stepJob(job, AnswerContinued{ID: job.id})
+			}
+		})
+	}
+}
+
 // lateSends returns the number of requests with a part that were sent later than
 // partContact after the nth crash by instances that had not been disturbed for as
 // long.
@@ -204,3 +215,19 @@
 func hasPart(part PromptPart) func(*simSound) bool {
 	return func(s *simSound) bool { return slices.Contains(s.parts, part) }
 }
+
+// crashSome ends n random engines for a reason that has nothing to do with their
+// requests.
+func (f *simulation) crashSome(n int) {
+	var up []string
+	for id, e := range f.engines {
+		if !e.down {
+			up = append(up, id)
+		}
+	}
+	slices.Sort(up)
+	f.rand.Shuffle(len(up), func(a, b int) { up[a], up[b] = up[b], up[a] })
+	for _, id := range up[:min(n, len(up))] {
+		f.crash(f.engines[id])
+	}
+}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -257,6 +257,7 @@
 func (f *simulation) answerJob(e *simEngine, job simJob) {
 	f.limits.answer(f, e, job)
 	f.stepJob(job, AnswerStarted{ID: job.id})
+	f.parts.proceed(f, e, job)
 	f.after(time.Duration(f.rand.ExpFloat64()*float64(f.serviceTime)), func() {
 		if e.down {
 			return
@@ -341,6 +342,7 @@
 // No request may spend its whole target there, and the burst must leave no slot
 // unused.
 func TestEngineQueueTimeStaysBelowTarget(t *testing.T) {
+	t.Parallel()
 	const duration = 2 * time.Second
 	for _, size := range []struct{ instances, engines, slots int }{{6, 18, 10}, {84, 90, 6}} {
 		f := newSimulation(size.instances, 4, size.engines, size.slots)
@@ -361,6 +363,7 @@
 // Load pattern: the engines of one zone are lost while its callers remain. The
 // remaining engines have capacity for all requests, so none may be refused.
 func TestZoneWithoutEnginesUsesOtherZones(t *testing.T) {
+	t.Parallel()
 	const zones = 4
 	for _, size := range []struct{ instances, engines, slots int }{{6, 18, 10}, {12, 18, 10}, {30, 36, 6}} {
 		f := newSimulation(size.instances, zones, size.engines, size.slots)
@@ -379,6 +382,7 @@
 // one endpoint returns. It must not receive all queued requests at once: plain
 // services then reset connections, and requests already sent may have run.
 func TestReturningEndpointIsNotOverloaded(t *testing.T) {
+	t.Parallel()
 	for name, size := range map[string]struct {
 		instances, engines, slots int
 		serviceTime               time.Duration
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -69,6 +69,13 @@
 	zonesReached     map[string]Instant
 	withUnanswered   map[crash.Incarnation]*endpoint
 	crashesExpiredAt Instant
+	// suspectedAt is when the evidence against a cause became enough. trials holds
+	// the requests that are at an endpoint although they have a suspect, by suspect.
+	suspectedAt map[crash.Cause]Instant
+	trials      map[crash.Cause]RequestID
+	// evidenceChanged is set if the verdict about a waiting request may have changed
+	// during the current step.
+	evidenceChanged bool
 	// nextAssignment is the earliest time at which endpoints are assigned to
 	// instances again.
 	nextAssignment Instant
@@ -125,7 +132,9 @@
 		requests:       map[RequestID]*request{},
 		quotas:         map[string]*bucket{},
 		incarnations:   map[crash.Incarnation]*endpoint{},
-		crashes:        crash.NewTable(crashThreshold, maxCrashRecords),
+		crashes:        crash.NewTable(crashThreshold, maxCrashRecords, crash.TrialRetention),
+		suspectedAt:    map[crash.Cause]Instant{},
+		trials:         map[crash.Cause]RequestID{},
 		zonesReached:   map[string]Instant{},
 		withUnanswered: map[crash.Incarnation]*endpoint{},
 		removedLimits:  map[crash.Incarnation]removedLimit{},
@@ -148,6 +157,8 @@
 		s.callerGone(ev.ID)
 	case AnswerStarted:
 		s.answerStarted(ev.ID)
+	case AnswerContinued:
+		s.answerContinued(ev.ID)
 	case AnswerReceived:
 		s.answerReceived(ev.ID, ev.Limit)
 	case AttemptEnded:
@@ -169,6 +180,7 @@
 	case Tick:
 		s.tick()
 	}
+	s.applyEvidence()
 	s.updatePermits()
 	s.sendLoadUpdates()
 	s.updateReady()
@@ -188,6 +200,7 @@
 	s.expireReportedVersion()
 	s.expireCrashes()
 	for _, p := range s.poolOrder {
+		s.reviewVerdicts(p)
 		s.dispatchWaiting(p)
 	}
 	s.tickLimits()
