--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -50,6 +50,8 @@
 	// Started is the endpoint's start time in Unix milliseconds, or zero if
 	// unknown.
 	Started int64
+	// Version is the version of the endpoint's software, or empty if unknown.
+	Version string
 }
 
 // Change is the write or deletion of one key. At most one of Endpoint and
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -29,6 +29,9 @@
 	// LastEventID is the id of the last event that the caller received of an
 	// earlier answer; zero if none.
 	LastEventID int64
+	// Resumes is the ID of the caller's attempt that brought the first event of the
+	// stream that the caller takes up; empty if none.
+	Resumes string
 }
 
 // ForwardInfo is the information that is sent to an endpoint in addition to
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,9 +44,11 @@
 	// if no further attempt is made.
 	endpointFailure *bufferedAnswer
 	// For the log.
-	attempts  int
-	endpoint  string
-	queueTime time.Duration
+	attempts int
+	endpoint string
+	// endpointVersion is the version of the endpoint's software.
+	endpointVersion string
+	queueTime       time.Duration
 	// retryAfter is the delay that a refused caller was given.
 	retryAfter time.Duration
 	status     int
@@ -91,7 +93,7 @@
 // attempt sends the request once and reports whether the exchange has ended.
 func (x *exchange) attempt(d scheduler.Dispatch) bool {
 	x.attempts = d.Attempt
-	x.endpoint = d.Endpoint.ID
+	x.endpoint, x.endpointVersion = d.Endpoint.ID, d.Endpoint.Version
 	x.queueTime += d.Waited
 	x.decisionFields = d.LogFields
 	a := x.send(d)
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -150,7 +150,7 @@
 	s.pool(entry.Service).add(e)
 	if changed {
 		s.log("endpoint_listed", "endpoint", entry.ID, "service", entry.Service, "address", entry.Address,
-			"leaving", entry.Leaving, "started", entry.Started, "revision", revision)
+			"leaving", entry.Leaving, "started", entry.Started, "version", entry.Version, "revision", revision)
 	}
 }
 
