Test: streams that go on after an engine or an instance has ended

The simulation gets engines with versions, streams that are resumed within their answers, and callers that take them up at another instance.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -318,6 +318,8 @@
 		PromptTokens:   x.info.PromptTokens,
 		Fingerprint:    x.fingerprint,
 		PromptParts:    x.info.PromptParts,
+		Resumes:        x.info.Resumes,
+		LastEventID:    x.info.LastEventID,
 		CallerDeadline: now.Add(callerTimeout),
 		Deadline:       now.Add(remaining),
 	}})
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -34,6 +34,11 @@
 	Fingerprint uint64
 	// PromptParts are the parts of the prompt that other requests may have too.
 	PromptParts []PromptPart
+	// Resumes is the Name of the caller's attempt that brought the first event of the
+	// stream that the caller takes up, or empty. LastEventID is the id of the last
+	// event that the caller has, or zero.
+	Resumes     string
+	LastEventID int64
 	// CallerDeadline is the time until which the caller waits. Deadline is the
 	// earlier of CallerDeadline and the route's timeout.
 	CallerDeadline Instant
--- a/internal/scheduler/simulation_crash_test.go
+++ b/internal/scheduler/simulation_crash_test.go
@@ -135,6 +135,9 @@
 	for _, job := range jobs {
 		f.after(simDelay, func() { f.crashes.unreachable(f, e, job) })
 	}
+	if f.streams.replacesCrashed() {
+		return
+	}
 	f.crashes.restarts++
 	id := fmt.Sprintf("%s-%d", e.address, f.crashes.restarts)
 	f.after(simEngineRestart, func() {
@@ -148,7 +151,7 @@
 // Across the isolation nothing arrives, and the attempt ends at its deadline.
 func (c *simCrashes) unreachable(f *simulation, e *simEngine, job simJob) {
 	if f.connected(e.zone, job.at.zone) {
-		f.stepJob(job, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: Broken}})
+		f.stepJob(job, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: Broken, AnswerStarted: f.streams.begun(job)}})
 		return
 	}
 	f.after(job.sent.Add(simCallerTimeout).Sub(f.now), func() {
@@ -181,7 +184,7 @@
 
 func (f *simulation) entry(e *simEngine) directory.Change {
 	return directory.Change{EndpointID: e.id, Endpoint: &directory.Endpoint{
-		ID: e.id, Service: service, Address: e.address, Zone: e.zone, Slots: e.slots, Started: e.started,
+		ID: e.id, Service: service, Address: e.address, Zone: e.zone, Slots: e.slots, Started: e.started, Version: e.version,
 	}}
 }
 
@@ -233,6 +236,7 @@
 	}
 	i.down = true
 	f.crashes.disturb(f, i)
+	f.streams.instanceDied(f, i)
 	f.after(d, func() {
 		f.crashes.restarts++
 		f.crashes.disturb(f, i)
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -40,6 +40,8 @@
 	limits *simLimits
 	// parts is the part in which requests have prompts with shared parts.
 	parts *simParts
+	// streams is the part in which streams are resumed and taken up again.
+	streams *simStreams
 }
 
 type simInstance struct {
@@ -59,6 +61,8 @@
 	address string
 	started int64
 	slots   int
+	// version is that of the process, which its entry may lag behind.
+	version string
 	// down is set once the engine has ended.
 	down    bool
 	running []simJob
@@ -209,6 +213,7 @@
 			f.crashes.refused(e.Reason)
 			f.limits.refused(f, i, e)
 			f.parts.refused(i, e)
+			f.streams.refused(f, i, e)
 			f.crashes.finished(i, e.ID)
 		case Counted:
 			f.limits.counted(e)
@@ -258,12 +263,14 @@
 	f.limits.answer(f, e, job)
 	f.stepJob(job, AnswerStarted{ID: job.id})
 	f.parts.proceed(f, e, job)
-	f.after(time.Duration(f.rand.ExpFloat64()*float64(f.serviceTime)), func() {
+	f.streams.answered(f, e, job)
+	f.after(f.streams.serviceTime(f, job), func() {
 		if e.down {
 			return
 		}
 		e.running = slices.DeleteFunc(e.running, func(other simJob) bool { return other == job })
 		f.crashes.finished(job.at, job.id)
+		f.streams.completed(job)
 		f.stepJob(job, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: Completed, FirstByte: 200 * time.Millisecond}})
 		if len(e.waiting) > 0 {
 			next := e.waiting[0]
