Scheduler: a stream goes on only at the software version that began it

Cause: within an answer a broken stream was resumed at any endpoint not tried before, and the version of an entry was not read. A caller that took its stream up with Resumes got a new request at whichever endpoint was best: what began an answer bound nothing that went on with it.

Change: an instance records with two others, of its zone and of another, at which version each attempt may begin a stream, before the answer starts and only while several versions serve; again when instances join or are lost. The instance that gets Resumes looks for the record, asks those that should have it, then all. Without a record it goes on if everyone that answers agrees that one version served or that the others are new; otherwise it refuses, not run, without Retry-After. A bound request is sent only to endpoints of its version whose process has shown no sign of an end that its entry does not show yet; it goes first and may exceed the usual depth by two. If no endpoint runs the version any more the caller is told at once.

Why it works: the record is written before the first event can reach the caller and survives two deaths; what is not recorded began while one version was known, or is refused.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -43,6 +43,7 @@
 		m.Limits = append(m.Limits, encodeLimit(l))
 	}
 	encodePermits(r, m)
+	encodeOrigins(r, m)
 	return proto.Marshal(m)
 }
 
@@ -109,5 +110,6 @@
 		r.Limits = append(r.Limits, limit)
 	}
 	decodePermits(m, &r)
+	decodeOrigins(m, &r)
 	return r, nil
 }
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -29,8 +29,13 @@
 			{Endpoint: 9, Limit: scheduler.RateLimit{Named: true}},
 			{Endpoint: 10, SentAge: time.Second},
 		},
-		Asks:   []scheduler.PermitAsk{{Endpoint: 8, Number: 4, Wanted: 3, Returned: 1, Urgency: 70000}},
-		Grants: []scheduler.PermitGrant{{Endpoint: 8, Ask: 4, Number: 17, Permits: 2, Queued: 40 * time.Millisecond}},
+		Asks: []scheduler.PermitAsk{{Endpoint: 8, Number: 4, Wanted: 3, Returned: 1, Urgency: 70000}},
+		Origins: []scheduler.StreamOrigin{
+			{Attempt: 11, Software: 12, Dispatch: 2, Remaining: 1500 * time.Millisecond}, {Attempt: 13},
+		},
+		OriginQueries: []scheduler.OriginQuery{{Attempt: 14, Services: []string{"s", "t"}, Memory: 30 * time.Second}},
+		OriginAnswers: []scheduler.OriginAnswer{{Attempt: 15, Recorded: true, Software: 16}, {Attempt: 17, Alone: true}},
+		Grants:        []scheduler.PermitGrant{{Endpoint: 8, Ask: 4, Number: 17, Permits: 2, Queued: 40 * time.Millisecond}},
 	}
 }
 
--- /dev/null
+++ b/internal/origin/history.go
@@ -0,0 +1,96 @@
+package origin
+
+import "time"
+
+// History is the software that services have run, as far as this instance knows.
+// It is not safe for concurrent use.
+type History struct {
+	services map[string]map[Software]seen
+	// begun is when the first software was listed.
+	begun    Time
+	hasBegun bool
+}
+
+// startGrace is the time after the first listing within which software counts as
+// having been there before.
+const startGrace = time.Second
+
+// seen is when software was first and last listed.
+type seen struct{ first, last Time }
+
+// NewHistory returns an empty History.
+func NewHistory() *History { return &History{services: map[string]map[Software]seen{}} }
+
+// Listed records that an endpoint of a service is listed with some software.
+func (h *History) Listed(service string, software Software, now Time) {
+	if !h.hasBegun {
+		h.hasBegun, h.begun = true, now
+	}
+	all := h.services[service]
+	if all == nil {
+		all = map[Software]seen{}
+		h.services[service] = all
+	}
+	at, known := all[software]
+	if !known {
+		at.first = now
+	}
+	at.last = now
+	all[software] = at
+}
+
+// Several reports whether the services have run more than one software within a
+// time.
+func (h *History) Several(services []string, now Time, within time.Duration) bool {
+	n := 0
+	for _, service := range services {
+		for _, at := range h.services[service] {
+			if now-at.last <= within {
+				n++
+			}
+		}
+	}
+	return n > 1
+}
+
+// Sole returns the software that must have begun an attempt that is not recorded
+// and began within a time: the only one that the services have run since, or the
+// only one that they had run before the others came. An instance records attempts
+// from the moment at which it knows of the second one. Software that was there when
+// this instance first read the list counts as older than any time. The result is
+// Unknown if there is no such software; alone is set if it is the only one.
+func (h *History) Sole(services []string, now Time, within time.Duration) (software Software, alone bool) {
+	var all, older []Software
+	for _, service := range services {
+		for software, at := range h.services[service] {
+			if now-at.last > within {
+				continue
+			}
+			all = append(all, software)
+			if at.first <= h.begun+startGrace || now-at.first > within {
+				older = append(older, software)
+			}
+		}
+	}
+	switch {
+	case len(all) == 1:
+		return all[0], true
+	case len(older) == 1:
+		return older[0], false
+	}
+	return Unknown, false
+}
+
+// Forget removes software that was last listed before a time.
+func (h *History) Forget(before Time) {
+	for service, all := range h.services {
+		for software, at := range all {
+			if at.last < before {
+				delete(all, software)
+			}
+		}
+		if len(all) == 0 {
+			delete(h.services, service)
+		}
+	}
+}
--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -57,6 +57,7 @@
 	}
 	s.endpointsChanged = false
 	s.reachableInstances = reachable
+	s.recordersChanged = true
 	if !s.leaving {
 		s.assignPermitOwners()
 	}
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -110,6 +110,12 @@
 	// CrashSuspect means that endpoints have ended while they ran equal requests, or
 	// requests with the same part of their prompts.
 	CrashSuspect Reason = "crash_suspect"
+	// StreamOriginUnknown means that nothing tells which software began the stream
+	// that the caller takes up.
+	StreamOriginUnknown Reason = "stream_origin_unknown"
+	// StreamVersionGone means that no endpoint runs the software that began the
+	// stream.
+	StreamVersionGone Reason = "stream_version_gone"
 	// AttemptsUsed means that the route allows no further attempt.
 	AttemptsUsed Reason = "attempts_used"
 	// RetryBudgetUsed means that the shared retry budget is used up.
@@ -123,7 +129,7 @@
 // Reasons returns the complete list of reasons.
 func Reasons() []Reason {
 	return []Reason{ConfigUnknown, ConfigStale, QuotaExceeded, NoEndpoint, QueueDelay, EndpointsFull,
-		LimitReached, CrashSuspect, AttemptsUsed, RetryBudgetUsed, NotRepeatable, DeadlinePassed}
+		LimitReached, CrashSuspect, StreamOriginUnknown, StreamVersionGone, AttemptsUsed, RetryBudgetUsed, NotRepeatable, DeadlinePassed}
 }
 
 // Counter is the name of a counter.
@@ -145,6 +151,9 @@
 	// CounterSuspects counts causes of crashes by what became of the suspicion:
 	// suspected, acquitted, tried.
 	CounterSuspects Counter = "routed_crash_suspects_total"
+	// CounterTakenUp counts the streams that callers take up: bound to the software
+	// that began them, unknown, or gone with it.
+	CounterTakenUp Counter = "routed_streams_taken_up_total"
 	// CounterLimitStatements counts what endpoints said about their rate limits,
 	// by observed, reported or malformed.
 	CounterLimitStatements Counter = "routed_limit_statements_total"
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -5,6 +5,7 @@
 
 	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/balsamstair/balsamstair/internal/origin"
 	"github.com/balsamstair/balsamstair/internal/routing"
 )
 
@@ -65,6 +66,10 @@
 	entryRemoved bool
 	// answeredSent is when the latest request that the endpoint answered was sent.
 	answeredSent Instant
+	// software identifies the version that the entry names. doubtedAt is when there
+	// were last signs that the process has ended, or zero.
+	software  origin.Software
+	doubtedAt Instant
 	// refusedAt is when its address refused a connection, or zero. The refusal
 	// counts once the path to its zone is known to exist.
 	refusedAt Instant
@@ -142,6 +147,8 @@
 	entry.Leaving = entry.Leaving || s.staysLeaving(entry)
 	changed := added || e.Leaving != entry.Leaving
 	e.Endpoint = entry
+	e.software = origin.SoftwareOf(entry.Service, entry.Version)
+	s.history.Listed(entry.Service, e.software, origin.Time(s.now))
 	if added {
 		s.restoreLimit(e)
 	}
--- a/internal/scheduler/endpoint_end.go
+++ b/internal/scheduler/endpoint_end.go
@@ -135,6 +135,7 @@
 // Some partitions refuse connections in place of dropping packets, so this is no
 // evidence until something else is heard from the endpoint's zone.
 func (s *State) connectionRefused(e *endpoint) {
+	s.doubtProcess(e)
 	if !s.members.knownInZone(e.Zone) {
 		s.endpointEnded(e, ConnectionRefused)
 		return
@@ -180,6 +181,7 @@
 // endpointEnded attributes the end of an endpoint's process to the requests
 // whose attempts there had no answer.
 func (s *State) endpointEnded(e *endpoint, evidence EndEvidence) {
+	s.doubtProcess(e)
 	known := e.endedAt != 0
 	if evidence != EntryRemoved {
 		e.endedAt = s.now
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/balsamstair/balsamstair/internal/origin"
 	"github.com/balsamstair/balsamstair/internal/routing"
 )
 
@@ -214,6 +215,11 @@
 	Crashes []Crash
 	// Limits lists some of the rate limits that endpoints named or lifted.
 	Limits []LimitStatement
+	// Origins lists attempts that may begin a stream. OriginQueries ask for such
+	// records, OriginAnswers answer.
+	Origins       []StreamOrigin
+	OriginQueries []OriginQuery
+	OriginAnswers []OriginAnswer
 	// Asks and Grants concern the permits for endpoints with rate limits.
 	Asks   []PermitAsk
 	Grants []PermitGrant
@@ -262,6 +268,35 @@
 	SentAge, ReceivedAge time.Duration
 }
 
+// StreamOrigin says at which software an attempt may begin a stream.
+type StreamOrigin struct {
+	Attempt  origin.Attempt
+	Software origin.Software
+	// Dispatch is the number of the request's dispatch.
+	Dispatch int
+	// Remaining is the time until the caller's deadline.
+	Remaining time.Duration
+}
+
+// OriginQuery asks which software began the stream of an attempt.
+type OriginQuery struct {
+	Attempt origin.Attempt
+	// Services are those to which the request's route sends, Memory how long ago the
+	// stream may have begun.
+	Services []string
+	Memory   time.Duration
+}
+
+// OriginAnswer answers an OriginQuery.
+type OriginAnswer struct {
+	Attempt origin.Attempt
+	// Recorded is set if the sender has a record of the attempt. Otherwise Software is
+	// the one that must have begun it as far as the sender knows, or Unknown, and Alone
+	// is set if the sender knows of no other.
+	Recorded, Alone bool
+	Software        origin.Software
+}
+
 // PermitAsk asks the owner of an endpoint's limit for permits. It replaces the
 // instance's earlier ask.
 type PermitAsk struct {
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -22,9 +22,11 @@
 	refused    map[RequestID]Refuse
 	reports    []SendReport
 	// probes are the probes that were not answered yet.
-	probes   []ProbeEndpoint
-	ready    bool
-	revision int64
+	probes []ProbeEndpoint
+	ready  bool
+	// reportsSent is the number of reports of reportFrom.
+	reportsSent uint64
+	revision    int64
 }
 
 const (
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -196,6 +196,9 @@
 	s.mergeCrashes(r.Crashes, r.Address)
 	s.mergeLimits(r.Limits, r.Address)
 	s.applyPermitMessages(r)
+	s.mergeOrigins(r.Origins)
+	s.answerOriginQueries(r.OriginQueries, r.Address)
+	s.applyOriginAnswers(r.OriginAnswers, r.Address)
 	x := m.byAddress[r.Address]
 	if x != nil && x.incarnation == r.Incarnation && r.Sequence <= x.sequence {
 		return
@@ -252,6 +255,7 @@
 	s.members.membershipChanged()
 	s.sendLimits([]string{r.Address}, s.limits)
 	s.sendCrashes([]string{r.Address}, firstN(s.crashes.Suspects(), maxNoticedCrashes))
+	s.recordersChanged = true
 	s.log("instance_joined", "address", r.Address, "incarnation", r.Incarnation, "age_ms", r.Age.Milliseconds())
 	return x
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -15,7 +15,10 @@
 	waiting []*request
 	// held holds the requests that wait for evidence against their causes, in order
 	// of arrival.
-	held         []*request
+	held []*request
+	// looking holds the requests that wait for what other instances know of the
+	// streams that they go on with.
+	looking      []*request
 	latencyMeans map[latencyKey]float64
 	budget       budget
 	// arrivals and dispatches are moving averages of this instance's requests.
@@ -78,6 +81,7 @@
 	same := func(x *request) bool { return x == r }
 	p.waiting = slices.DeleteFunc(p.waiting, same)
 	p.held = slices.DeleteFunc(p.held, same)
+	p.looking = slices.DeleteFunc(p.looking, same)
 }
 
 const (
@@ -157,19 +161,24 @@
 
 // firstPlaceable returns a queued request that some endpoint can take although
 // none can take the first in the queue. Requests differ in this only if one of
-// them has already been sent to an endpoint.
+// them has already been sent to an endpoint, or goes on with a stream.
 func (s *State) firstPlaceable(p *pool) (*request, *endpoint) {
+	anyFailed := !p.waiting[0].constrained()
 	for _, r := range p.waiting[1:] {
-		if len(p.waiting[0].tried) == 0 && len(r.tried) == 0 {
+		if anyFailed && !r.constrained() {
 			continue
 		}
 		if e := s.chooseEndpoint(p, r); e != nil {
 			return r, e
 		}
+		anyFailed = anyFailed || !r.constrained()
 	}
 	return nil, nil
 }
 
+// constrained reports whether the request may not be sent to every endpoint.
+func (r *request) constrained() bool { return len(r.tried) > 0 || r.bound }
+
 // chooseEndpoint returns the lowest-cost endpoint with capacity for r, or nil.
 // Endpoints that are not assigned to this instance are used only if no assigned
 // endpoint is usable.
@@ -187,12 +196,12 @@
 func (s *State) chooseAmong(p *pool, r *request, unassigned bool) (best *endpoint, found bool) {
 	bestCost := 0.0
 	for _, e := range p.endpoints {
-		if e.unassigned != unassigned || !s.usable(e) || r.hasTried(e) || e.limited() && !e.hasPermit(s.now) {
+		if e.unassigned != unassigned || !s.usable(e) || r.hasTried(e) || !s.mayRun(r, e) || e.limited() && !e.hasPermit(s.now) {
 			continue
 		}
 		found = true
 		load := e.load()
-		if load >= e.maxRequests() || e.ownRunning >= e.window {
+		if load >= e.maxRequests()+r.extraRequests() || e.ownRunning >= e.window+r.extraRequests() {
 			continue
 		}
 		if cost := s.placementCost(e, load); best == nil || cost < bestCost {
@@ -227,6 +236,15 @@
 	return e.slots + endpointQueueDepth
 }
 
+// extraRequests returns the number of requests beyond the usual ones that an
+// endpoint gets.
+func (r *request) extraRequests() int {
+	if r.bound {
+		return boundExtraRequests
+	}
+	return 0
+}
+
 // usable reports whether e may receive new requests now. After a suspension,
 // one request at a time probes the endpoint until one completes.
 func (s *State) usable(e *endpoint) bool {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/crash"
+	"github.com/balsamstair/balsamstair/internal/origin"
 )
 
 // request is the state of a request from its admission to its end.
@@ -31,6 +32,17 @@
 	// trial is set while the request is at an endpoint although it has a suspect,
 	// trialFailed once such an attempt broke.
 	trial, trialFailed bool
+	// bound is set for a stream of which the caller has events, software is then the
+	// one that began it. sentTo is the software of the current endpoint.
+	bound            bool
+	software, sentTo origin.Software
+	// dispatches is the number of dispatches that may have begun the stream.
+	dispatches int
+	// lookup is the search for the software that began the stream, or nil.
+	// originSource and originWait tell how it was found.
+	lookup       *lookup
+	originSource string
+	originWait   time.Duration
 	// charged is the cost charged to the organisation's quota.
 	charged float64
 }
@@ -43,6 +55,10 @@
 	if r.rank != other.rank {
 		return r.rank.less(other.rank)
 	}
+	if r.bound != other.bound {
+		// Few endpoints can go on with a stream, and its caller has paid for a part.
+		return r.bound
+	}
 	if r.arrived != other.arrived {
 		return r.arrived < other.arrived
 	}
@@ -76,6 +92,10 @@
 	}
 	s.charge(r)
 	s.requests[r.ID] = r
+	if r.continues() {
+		s.findOrigin(r, p)
+		return
+	}
 	p.enqueue(r)
 	s.dispatchWaiting(p)
 	s.shedLimited(p)
@@ -132,6 +152,7 @@
 	e.ownPrefill += r.PromptTokens
 	r.prefilling = true
 	r.begun = false
+	s.recordOrigin(r, e)
 	s.pool(r.Service).dispatches.add(1)
 	s.loadChanged(e)
 	if e.limited() {
@@ -141,7 +162,7 @@
 	s.emit(Dispatch{
 		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued), Limited: e.limited(),
 		LogFields: []any{"endpoint_load", e.load(), "endpoint_slots", e.slots, "endpoint_backlog_tokens", e.backlog(),
-			"waiting", len(s.pool(r.Service).waiting)},
+			"waiting", len(s.pool(r.Service).waiting), "origin", r.originSource, "origin_wait_ms", r.originWait.Milliseconds()},
 	})
 }
 
@@ -149,6 +170,7 @@
 func (s *State) answerStarted(id RequestID) {
 	if r := s.requests[id]; r != nil && r.endpoint != nil {
 		r.endPrefill()
+		r.streamBegun()
 		r.endpoint.growWindow()
 		s.endpointAnswered(r.endpoint, r.dispatched)
 	}
@@ -239,8 +261,8 @@
 	retry := time.Duration(0)
 	switch {
 	case r.mayHaveRun:
-	case reason == CrashSuspect:
-		// The suspicion outlasts every caller's deadline.
+	case reason == CrashSuspect || reason == StreamOriginUnknown || reason == StreamVersionGone:
+		// What the refusal is based on outlasts the caller's deadline.
 	case reason == LimitReached:
 		retry = s.limitedRetryAfter(r)
 	default:
@@ -324,6 +346,8 @@
 		return NotRepeatable
 	case s.now >= r.Deadline:
 		return DeadlinePassed
+	case r.bound && !s.softwareServes(p, r):
+		return StreamVersionGone
 	case a.Outcome == NotSent:
 		return ""
 	case len(r.tried) >= max(r.Route.MaxAttempts, 1):
@@ -347,7 +371,7 @@
 		if limited {
 			rate = s.limitedRate(p)
 		}
-		for _, r := range slices.Concat(p.waiting, p.held) {
+		for _, r := range slices.Concat(p.waiting, p.held, p.looking) {
 			deadline := r.queueDeadline(maxQueueTime(r.Route.Target))
 			if limited {
 				deadline = r.queueDeadline(r.limitedWait(rate))
@@ -374,6 +398,9 @@
 // request that may have run, or whose answer has started, can only wait for
 // another endpoint until its deadline.
 func (r *request) queueDeadline(maxWait time.Duration) Instant {
+	if r.mayHaveRun && r.bound {
+		return min(r.Deadline, r.queued.Add(r.callerPatience()))
+	}
 	if r.mayHaveRun {
 		return r.Deadline
 	}
--- a/internal/scheduler/simulation_crash_test.go
+++ b/internal/scheduler/simulation_crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/directory"
@@ -192,7 +193,9 @@
 	var out []directory.Change
 	for _, e := range f.engines {
 		if !e.down {
-			out = append(out, f.entry(e))
+			c := f.entry(e)
+			c.Endpoint.Leaving = e.leaving
+			out = append(out, c)
 		}
 	}
 	return out
@@ -300,13 +303,14 @@
 	f.after(next, func() { f.injectFaults(interval, d-next) })
 }
 
-// liveInstance returns a random instance that serves callers.
+// liveInstance returns a random instance that serves callers, or one that does not
+// if none does.
 func (f *simulation) liveInstance() *simInstance {
-	for {
-		if i := f.instances[f.rand.IntN(len(f.instances))]; !i.down && !i.paused {
-			return i
-		}
+	live := slices.DeleteFunc(slices.Clone(f.instances), func(i *simInstance) bool { return i.down || i.paused })
+	if len(live) == 0 {
+		live = f.instances
 	}
+	return live[f.rand.IntN(len(live))]
 }
 
 // repeatCrashingRequest sends the crashing request again and again, each time
--- a/internal/scheduler/simulation_stream_test.go
+++ b/internal/scheduler/simulation_stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/directory"
@@ -18,6 +19,8 @@
 	length time.Duration
 	// attempts is the number of attempts of each route.
 	attempts int
+	// lag is the longest time after which an instance hears of a change of an entry.
+	lag time.Duration
 }
 
 // simStream is one stream, over all attempts of its caller.
@@ -48,6 +51,8 @@
 
 const (
 	simStreamTimeout = 15 * time.Second
+	// simDrainTime is how long an engine serves on after it has said that it leaves.
+	simDrainTime = 4 * time.Second
 	// simCallerRetryDelay is the mean time after which a caller takes a stream up.
 	simCallerRetryDelay = 100 * time.Millisecond
 )
@@ -55,16 +60,9 @@
 // newStreamSimulation returns a simulation in which engines run a version each, in
 // turn.
 func newStreamSimulation(instances, engines, slots int, versions ...string) *simulation {
-	f := newSimulation(instances, 4, engines, slots)
+	f := newVersionedSimulation(instances, 4, engines, slots, versions...)
 	f.crashes = newSimCrashes(noCrash)
 	f.streams = &simStreams{byRequest: map[simRequest]*simStream{}, length: 3 * time.Second, attempts: 2}
-	var changes []directory.Change
-	for n := range engines {
-		e := f.engines[fmt.Sprintf("e%d", n)]
-		e.version = versions[n%len(versions)]
-		changes = append(changes, f.entry(e))
-	}
-	f.publish(changes...)
 	return f
 }
 
@@ -197,7 +195,7 @@
 func (f *simulation) enginesOf(version string) int {
 	n := 0
 	for _, e := range f.engines {
-		if !e.down && e.version == version {
+		if !e.down && !e.leaving && e.version == version {
 			n++
 		}
 	}
@@ -253,9 +251,61 @@
 	id := fmt.Sprintf("%s-%d", e.address, f.crashes.restarts)
 	f.after(after, func() {
 		f.engines[id] = &simEngine{id: id, zone: e.zone, address: e.address, started: int64(f.now), slots: e.slots, version: version}
-		f.publish(f.entry(f.engines[id]))
+		f.publishLate(f.entry(f.engines[id]))
 	})
-	f.after(simEntryTimeout, func() { f.publish(directory.Change{EndpointID: e.id, Revision: 2}) })
+	f.after(simEntryTimeout, func() { f.publishLate(directory.Change{EndpointID: e.id, Revision: 2}) })
+}
+
+// publishLate delivers a change of the directory to each instance after a time of its
+// own.
+func (f *simulation) publishLate(change directory.Change) {
+	for _, i := range f.instances {
+		lag := time.Duration(0)
+		if f.streams.lag > 0 {
+			lag = time.Duration(f.rand.Int64N(int64(f.streams.lag)))
+		}
+		incarnation := i.incarnation
+		f.after(lag, func() {
+			if i.incarnation == incarnation {
+				f.step(i, DirectoryRead{Update: directory.Update{ReadAt: int64(f.now), Batch: directory.Batch{Changes: []directory.Change{change}, Revision: 3}}})
+			}
+		})
+	}
+}
+
+// rollOut replaces n engines by ones with a version, one after the other: the new one
+// starts, and the old one leaves and ends later.
+func (f *simulation) rollOut(version string, n int, interval time.Duration) {
+	if n == 0 {
+		return
+	}
+	var old []*simEngine
+	for _, e := range f.engines {
+		if !e.down && !e.leaving && e.version != version {
+			old = append(old, e)
+		}
+	}
+	if len(old) > 0 {
+		slices.SortFunc(old, func(a, b *simEngine) int { return strings.Compare(a.id, b.id) })
+		e := old[f.rand.IntN(len(old))]
+		e.leaving = true
+		f.crashes.restarts++
+		id := fmt.Sprintf("%s-%d", e.address, f.crashes.restarts)
+		f.engines[id] = &simEngine{id: id, zone: e.zone, address: id, started: int64(f.now), slots: e.slots, version: version}
+		f.publishLate(f.entry(f.engines[id]))
+		f.after(interval, func() {
+			leaving := f.entry(e)
+			leaving.Endpoint.Leaving = true
+			f.publishLate(leaving)
+		})
+		f.after(interval+simDrainTime, func() {
+			if !e.down {
+				f.crash(e)
+			}
+			f.publishLate(directory.Change{EndpointID: e.id, Revision: 2})
+		})
+	}
+	f.after(interval, func() { f.rollOut(version, n-1, interval) })
 }
 
 // randomEngine returns an engine that serves.
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -63,6 +63,8 @@
 	slots   int
 	// version is that of the process, which its entry may lag behind.
 	version string
+	// leaving is set once the engine is about to leave.
+	leaving bool
 	// down is set once the engine has ended.
 	down    bool
 	running []simJob
@@ -109,6 +111,12 @@
 
 // newSimulation returns instances that discover each other through three seeds.
 func newSimulation(instances, zones, engines, slots int) *simulation {
+	return newVersionedSimulation(instances, zones, engines, slots, "")
+}
+
+// newVersionedSimulation returns a simulation in which engines run the versions in
+// turn.
+func newVersionedSimulation(instances, zones, engines, slots int, versions ...string) *simulation {
 	f := &simulation{
 		now: Instant(time.Hour), rand: rand.New(rand.NewPCG(1, 2)), byAddress: map[string]*simInstance{},
 		serviceTime: simServiceTime, engines: map[string]*simEngine{},
@@ -118,8 +126,9 @@
 		c := engine(n, slots)
 		c.Endpoint.Zone = fmt.Sprint(n % zones)
 		c.Endpoint.Address = fmt.Sprintf("10.1.%d.%d:1", n/250, n%250)
+		c.Endpoint.Version = versions[n%len(versions)]
 		entries = append(entries, c)
-		f.engines[c.EndpointID] = &simEngine{id: c.EndpointID, zone: c.Endpoint.Zone, address: c.Endpoint.Address, started: c.Endpoint.Started, slots: slots}
+		f.engines[c.EndpointID] = &simEngine{id: c.EndpointID, zone: c.Endpoint.Zone, address: c.Endpoint.Address, started: c.Endpoint.Started, slots: slots, version: c.Endpoint.Version}
 	}
 	var seeds []string
 	for n := range instances {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/balsamstair/balsamstair/internal/origin"
 	"github.com/balsamstair/balsamstair/internal/routing"
 )
 
@@ -73,6 +74,13 @@
 	// the requests that are at an endpoint although they have a suspect, by suspect.
 	suspectedAt map[crash.Cause]Instant
 	trials      map[crash.Cause]RequestID
+	// origins holds the attempts that may have begun a stream, history the software
+	// that services have run.
+	origins          *origin.Table
+	history          *origin.History
+	originsExpiredAt Instant
+	// recordersChanged is set if the instances that keep records may have changed.
+	recordersChanged bool
 	// evidenceChanged is set if the verdict about a waiting request may have changed
 	// during the current step.
 	evidenceChanged bool
@@ -135,6 +143,8 @@
 		crashes:        crash.NewTable(crashThreshold, maxCrashRecords, crash.TrialRetention),
 		suspectedAt:    map[crash.Cause]Instant{},
 		trials:         map[crash.Cause]RequestID{},
+		origins:        origin.NewTable(maxOriginRecords),
+		history:        origin.NewHistory(),
 		zonesReached:   map[string]Instant{},
 		withUnanswered: map[crash.Incarnation]*endpoint{},
 		removedLimits:  map[crash.Incarnation]removedLimit{},
@@ -205,6 +215,7 @@
 	}
 	s.tickLimits()
 	s.sendCrashNotice()
+	s.tickOrigins()
 	s.sendDueReports()
 	s.refreshLoads()
 }
