Bytes without end from endpoints and the store cost one request or one read

What callers would see: a request whose endpoint rejects it with a body that never ends was held until its deadline (503 after 3 s in the test), although another endpoint would have taken it at once.

Cause: the body of a rejection was read to its end, up to 256 KB, however slowly it came. Change: 16 KB or 100 ms, then the connection is closed. Three of the fourteen cases of the test failed before: slow rejections with and without chunks, and a misdirected request. The others held: heads, header lines, early answers, streams and plain bodies without end, kept connections and probes.

Refusals are read up to 16 KB, and the heads of the store's and of relays' answers are limited to 64 KB, where the default was 10 MB.

A plain body or a stream of events without ids is forwarded until the route's timeout and then broken off, as before.

--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -35,6 +35,8 @@
 	endpointIdleTimeout = 20 * time.Second
 	// storeConnectTimeout limits connecting to the platform's store or a relay.
 	storeConnectTimeout = 500 * time.Millisecond
+	// storeHeaderBytes limits the head of an answer of the store or a relay.
+	storeHeaderBytes = 64 << 10
 	// routedDrainDelay is the time that the load balancer may need to notice that
 	// the instance accepts no new connections: two checks one second apart,
 	// and one in flight.
@@ -137,10 +139,11 @@
 func storeTransport() *http.Transport {
 	dialer := net.Dialer{Timeout: storeConnectTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     endpointIdleTimeout,
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        endpointIdleTimeout,
+		MaxResponseHeaderBytes: storeHeaderBytes,
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -205,10 +205,19 @@
 	}
 }
 
-// discardBody reads a short answer to its end, so that the connection can be
-// reused.
+const (
+	// maxDiscardedBytes and maxDiscardTime bound what is read of an answer whose body
+	// does not matter, so that its connection can be reused. The body of an endpoint
+	// in trouble may never end.
+	maxDiscardedBytes = 16 << 10
+	maxDiscardTime    = 100 * time.Millisecond
+)
+
+// discardBody reads a short answer to its end, or closes its connection.
 func (x *exchange) discardBody(answer *endpoint.Answer) {
-	if _, _, err := readUpTo(answer.Body, maxBufferedAnswerBytes); err != nil {
+	timer := time.AfterFunc(maxDiscardTime, func() { answer.Body.Close() })
+	defer timer.Stop()
+	if _, _, err := readUpTo(answer.Body, maxDiscardedBytes); err != nil {
 		x.h.logAttemptFailure(x, "refusal", err)
 	}
 	answer.Body.Close()
