--- a/internal/gateway/probe_test.go
+++ b/internal/gateway/probe_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/routing"
+	"github.com/balsamstair/balsamstair/internal/scheduler"
 	"github.com/shoenig/test/must"
 )
 
@@ -82,6 +83,40 @@
 	must.Eq(t, "", body)
 }
 
+// Guards against an answer that ends with its connection after a single event, as
+// that of an endpoint which has ended, and that acquits its request.
+func TestEndOfConnectionIsInconclusive(t *testing.T) {
+	for name, c := range map[string]struct {
+		route               func(*routing.Route)
+		reply               string
+		inconclusive, error bool
+	}{
+		"close-delimited stream": {resumableStream, closeDelimitedHead + event(1), true, false},
+		"chunked stream":         {resumableStream, streamHead + chunk(event(1)) + streamEnd, false, false},
+		"close-delimited":        {nil, "HTTP/1.1 200 OK\r\nId: id-1\r\n\r\nanswer", true, false},
+		"length":                 {nil, okAnswer, false, false},
+		"error":                  {nil, "HTTP/1.1 404 No\r\nId: id-1\r\nContent-Length: 0\r\n\r\n", false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestGateway(t, 1, config(c.route), replyWith(c.reply, false))
+			ended := make(chan scheduler.Attempt, 1)
+			post := s.handler.cfg.Post
+			s.handler.cfg.Post = func(ev scheduler.Event) {
+				if e, ok := ev.(scheduler.AttemptEnded); ok {
+					ended <- e.Attempt
+				}
+				post(ev)
+			}
+			_, _, err := s.do(nil)
+			must.NoError(t, err)
+			a := <-ended
+			must.Eq(t, scheduler.Completed, a.Outcome)
+			must.Eq(t, c.inconclusive, a.Inconclusive)
+			must.Eq(t, c.error, a.ErrorAnswer)
+		})
+	}
+}
+
 // Guards against requests with a part that ends every endpoint as it begins to
 // answer, whose answers end with their connections.
 func TestEndpointsThatEndAfterTheHeadCount(t *testing.T) {
--- a/internal/scheduler/crash_part_test.go
+++ b/internal/scheduler/crash_part_test.go
@@ -278,8 +278,22 @@
 		i.step(AttemptEnded{ID: id, Attempt: Attempt{Outcome: Broken, AnswerStarted: true}})
 		i.answerProbes(ProbeRefused)
 		must.True(t, i.running(id))
+		must.SliceEmpty(t, i.s.crashes.Ends(crash.PartCause(service, uint64(crashingPart))))
 	}
 	must.MapEmpty(t, i.s.suspectedAt)
+
+	// Two streams had begun at the same endpoint.
+	i = newServingInstance(t, 1, 4)
+	r.MaxAttempts = 1
+	ids := []RequestID{i.arrive(r, withParts(crashingPart)), i.arrive(r, withParts(crashingPart))}
+	for _, id := range ids {
+		i.step(AnswerContinued{ID: id})
+	}
+	for _, id := range ids {
+		i.step(AttemptEnded{ID: id, Attempt: Attempt{Outcome: Broken, AnswerStarted: true}})
+		i.answerProbes(ProbeRefused)
+	}
+	must.SliceEmpty(t, i.s.crashes.Ends(crash.PartCause(service, uint64(crashingPart))))
 }
 
 // Guards against an instance that suspects a part since it has not heard of the
@@ -298,7 +312,8 @@
 	must.True(t, i.reports[0].Report.Crashes[0].Acquitted)
 
 	other := newServingInstance(t, 9, 4)
-	other.step(PeerReported{Report: Report{Incarnation: 8, Sequence: 1, Address: "10.0.0.8:1",
+	other.step(PeerReported{Report: Report{Incarnation: 8, Sequence: 1, Address: "10.0.0.8:1"}})
+	other.step(PeerReported{Report: Report{Incarnation: 8, Sequence: 2, Address: "10.0.0.8:1", Partial: true,
 		Crashes: []Crash{crashesOf(firstPart, time.Second, time.Second, time.Second)}}})
 	held := other.arrive(route("r", 0), withParts(firstPart))
 	must.False(t, other.running(held))
@@ -359,6 +374,48 @@
 	must.True(t, i.running(i.arrive(route("r", 0), withParts(crashingPart))))
 }
 
+// Guards against all instances trying a suspect at the same moment: of two, one
+// waits for its turn, and which one differs between suspects.
+func TestInstancesTakeTurnsToTry(t *testing.T) {
+	atOnce := 0
+	const parts = 12
+	for part := range PromptPart(parts) {
+		i := newServingInstance(t, 9, 4)
+		i.step(PeerReported{Report: Report{Incarnation: 9, Sequence: 1, Address: "10.0.0.9:1"}})
+		i.advance(TickInterval)
+		i.step(PeerReported{Report: Report{Incarnation: 9, Sequence: 2, Address: "10.0.0.9:1", Partial: true,
+			Crashes: []Crash{crashesOf(part, 0, 0, 0)}}})
+		r := route("r", 0)
+		r.Target = 20 * time.Second
+		id := i.arrive(r, withParts(part))
+		i.advance(crash.ProofTime + TickInterval)
+		if i.running(id) {
+			atOnce++
+		}
+		i.advance(trialSpacing)
+		must.True(t, i.running(id))
+	}
+	must.Between(t, 1, atOnce, parts-1)
+}
+
+// Guards against requests that are held for seconds because an attempt broke at an
+// endpoint that can't be reached.
+func TestUnresolvedAttemptsAreForgotten(t *testing.T) {
+	i := newServingInstance(t, 9, 4)
+	i.step(PeerReported{Report: Report{Incarnation: 9, Sequence: 1, Address: "10.0.0.9:1",
+		Crashes: []Crash{crashesOf(crashingPart, 0)}}})
+	r := route("r", 0)
+	r.MaxAttempts = 1
+	ids := []RequestID{i.arrive(r, withParts(crashingPart)), i.arrive(r, withParts(crashingPart))}
+	for _, id := range ids {
+		i.end(id, Attempt{Outcome: Broken})
+	}
+	must.False(t, i.running(i.arrive(r, withParts(crashingPart))))
+	i.answerProbes(ProbeUnknown)
+	i.advance(unresolvedTime + TickInterval)
+	must.True(t, i.running(i.arrive(r, withParts(crashingPart))))
+}
+
 // Guards against a part that is convicted at one service because it crashes the
 // endpoints of another, or acquitted there.
 func TestPartsOfServicesAreApart(t *testing.T) {
--- a/internal/scheduler/crash_verdict.go
+++ b/internal/scheduler/crash_verdict.go
@@ -13,6 +13,10 @@
 // others know of it, in less.
 const trialSpacing = time.Second
 
+// unresolvedTime is how long a broken attempt counts as one that may have ended its
+// endpoint. A connection to it has been tried by then, or does not get through.
+const unresolvedTime = 1500 * time.Millisecond
+
 // verdict is what the evidence says about a request. A higher one outweighs a
 // lower one.
 type verdict int
@@ -58,8 +62,6 @@
 		return cleared
 	case s.now.Sub(since) < crash.ProofTime:
 		return awaitingProof
-	case r.trialFailed:
-		return convicted
 	}
 	_, running := s.trials[c]
 	explained := s.explainedByOther(r, record)
@@ -112,7 +114,7 @@
 	n := 0
 	for _, e := range s.withUnanswered {
 		if slices.ContainsFunc(e.unanswered, func(u unanswered) bool {
-			return u.broken && !u.accepted && slices.Contains(u.causes, c)
+			return u.broken && !u.accepted && s.now.Sub(u.at) <= unresolvedTime && slices.Contains(u.causes, c)
 		}) {
 			n++
 		}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -29,9 +29,8 @@
 	// begun is set once the current attempt has shown that the request does not
 	// crash its endpoint.
 	begun bool
-	// trial is set while the request is at an endpoint although it has a suspect,
-	// trialFailed once such an attempt broke.
-	trial, trialFailed bool
+	// trial is set while the request is at an endpoint although it has a suspect.
+	trial bool
 	// bound is set for a stream of which the caller has events, software is then the
 	// one that began it. sentTo is the software of the current endpoint.
 	bound            bool
@@ -285,9 +284,6 @@
 		r.mayHaveRun = true
 	}
 	s.updateCrashEvidence(e, r, a)
-	if r.trial && (a.Outcome == Broken || a.Outcome == Abandoned) {
-		r.trialFailed = !r.begun
-	}
 	s.endTrial(r)
 	if a.Outcome == Completed || a.Outcome == Abandoned {
 		s.removeRequest(r)
