--- a/internal/scheduler/crash_part_test.go
+++ b/internal/scheduler/crash_part_test.go
@@ -275,6 +275,7 @@
 	for range 5 {
 		i.step(AnswerStarted{ID: id})
 		i.step(AnswerContinued{ID: id})
+		i.advance(TickInterval)
 		i.step(AttemptEnded{ID: id, Attempt: Attempt{Outcome: Broken, AnswerStarted: true}})
 		i.answerProbes(ProbeRefused)
 		must.True(t, i.running(id))
@@ -289,6 +290,7 @@
 	for _, id := range ids {
 		i.step(AnswerContinued{ID: id})
 	}
+	i.advance(TickInterval)
 	for _, id := range ids {
 		i.step(AttemptEnded{ID: id, Attempt: Attempt{Outcome: Broken, AnswerStarted: true}})
 		i.answerProbes(ProbeRefused)
