--- a/internal/scheduler/stream_origin_test.go
+++ b/internal/scheduler/stream_origin_test.go
@@ -336,3 +336,27 @@
 	i.end(again, Attempt{Outcome: Completed})
 	must.Eq(t, version, i.versionOf(third))
 }
+
+// Guards against a stream that goes on at the version of an earlier dispatch, which
+// brought no event.
+func TestOriginIsThatOfTheLastDispatch(t *testing.T) {
+	i := newVersionedInstance(t, 4, "v1", "v2")
+	id := i.arrive(route("r", 0), nil)
+	first := i.versionOf(id)
+	i.step(AttemptEnded{ID: id, Attempt: Attempt{Outcome: NotRun}})
+	second := i.versionOf(id)
+	must.NotEq(t, first, second)
+	record, known := i.s.origins.Lookup(origin.AttemptOf("", fmt.Sprint(id)))
+	must.True(t, known)
+	must.Eq(t, origin.SoftwareOf(service, second), record.Software)
+	must.Eq(t, 2, record.Dispatch)
+}
+
+// Guards against a stream that goes on at the version of another organisation's
+// attempt with the same ID.
+func TestAttemptsOfOrganisationsAreApart(t *testing.T) {
+	q := Request{Name: "x", Route: route("r", 0), Organisation: &routing.Organisation{Name: "a"}}
+	other := q
+	other.Organisation = &routing.Organisation{Name: "b"}
+	must.NotEq(t, q.originAttempt(), other.originAttempt())
+}
