Logs: a service of which an instance reaches no endpoint

The logs of the incident show failed attempts one by one. They don't tell an instance that has lost all endpoints of a service from one with trouble at some, which two of the three hypotheses need. No decision changes.

--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -89,6 +89,7 @@
 	relativeLatency float64
 	// failureRate is the moving average of failed attempts.
 	failureRate float64
+	path        endpointPath
 	// limit is the rate limit that the endpoint named, or nil if it named none.
 	limit *endpointLimit
 }
@@ -234,6 +235,7 @@
 	switch a.Outcome {
 	case NotSent, Broken:
 		failed = 1
+		s.pathFailed(e)
 		s.suspend(e)
 		if a.Refused {
 			s.connectionRefused(e)
--- a/internal/scheduler/endpoint_end.go
+++ b/internal/scheduler/endpoint_end.go
@@ -99,6 +99,7 @@
 // endpoint had not ended under the attempts that failed before.
 func (s *State) endpointAnswered(e *endpoint, sent Instant) {
 	e.answeredSent = max(e.answeredSent, sent)
+	s.pathProved(e, sent)
 	if sent > e.endedAt {
 		e.endedAt = 0
 	}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -28,6 +28,8 @@
 	// sinceLowestRank counts the dispatches since a request of the lowest waiting
 	// rank was dispatched out of order.
 	sinceLowestRank int
+	// pathsLost is set while the latest signs of all endpoints are failures.
+	pathsLost bool
 }
 
 type latencyKey struct {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -210,6 +210,7 @@
 	s.expireReportedVersion()
 	s.expireCrashes()
 	for _, p := range s.poolOrder {
+		s.reviewPaths(p)
 		s.reviewVerdicts(p)
 		s.dispatchWaiting(p)
 	}
