--- a/internal/scheduler/simulation_crash_test.go
+++ b/internal/scheduler/simulation_crash_test.go
@@ -209,7 +209,8 @@
 	}
 	delay, result, incarnation := 2*simDelay, ProbeRefused, i.incarnation
 	switch {
-	case !f.connected(i.zone, probe.Endpoint.Zone):
+	case f.links.mode(i, probe.Endpoint.Zone) == linkResets:
+	case !f.connected(i.zone, probe.Endpoint.Zone), f.links.mode(i, probe.Endpoint.Zone) == linkHangs:
 		delay, result = time.Second, ProbeUnknown
 	case f.listening(probe.Endpoint.Address):
 		result = ProbeAccepted
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -42,6 +42,8 @@
 	parts *simParts
 	// streams is the part in which streams are resumed and taken up again.
 	streams *simStreams
+	// links is the part in which instances lose their links to engines.
+	links *simLinks
 }
 
 type simInstance struct {
@@ -222,10 +224,12 @@
 			f.crashes.refused(e.Reason)
 			f.limits.refused(f, i, e)
 			f.parts.refused(i, e)
+			f.links.refused(i, e)
 			f.streams.refused(f, i, e)
 			f.crashes.finished(i, e.ID)
 		case Counted:
 			f.limits.counted(e)
+			f.links.counted(e)
 		default:
 			f.crashes.apply(f, i, e)
 		}
@@ -245,6 +249,9 @@
 }
 
 func (f *simulation) arriveAtEngine(e *simEngine, job simJob) {
+	if f.links.stopped(f, e, job) {
+		return
+	}
 	f.limits.arrived(f, e, job)
 	switch {
 	case !f.connected(e.zone, job.at.zone):
@@ -270,17 +277,23 @@
 // answerJob begins the answer to a job and ends it after its service time.
 func (f *simulation) answerJob(e *simEngine, job simJob) {
 	f.limits.answer(f, e, job)
-	f.stepJob(job, AnswerStarted{ID: job.id})
+	if f.links.mode(job.at, e.zone) == linkWorks {
+		f.stepJob(job, AnswerStarted{ID: job.id})
+	}
 	f.parts.proceed(f, e, job)
 	f.streams.answered(f, e, job)
 	f.after(f.streams.serviceTime(f, job), func() {
 		if e.down {
 			return
 		}
+		reached := f.links.mode(job.at, e.zone) == linkWorks
 		e.running = slices.DeleteFunc(e.running, func(other simJob) bool { return other == job })
 		f.crashes.finished(job.at, job.id)
 		f.streams.completed(job)
-		f.stepJob(job, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: Completed, FirstByte: 200 * time.Millisecond}})
+		if reached {
+			f.links.completed(job.at, job.id)
+			f.stepJob(job, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: Completed, FirstByte: 200 * time.Millisecond}})
+		}
 		if len(e.waiting) > 0 {
 			next := e.waiting[0]
 			e.waiting = e.waiting[1:]
@@ -302,6 +315,7 @@
 		n := int(math.Sqrt(f.rand.Float64()) * float64(len(f.instances)))
 		f.nextID++
 		r := f.limits.route(f, f.instances[n])
+		f.links.arrived(f, f.instances[n], f.nextID)
 		f.step(f.instances[n], Arrived{Request: Request{
 			ID: f.nextID, Name: "r", Version: 1, Route: r, Service: service, Fingerprint: f.crashes.fingerprint(f.nextID), PromptTokens: 2000, Tokens: 2100,
 			PromptParts:    f.parts.arriving(f, f.instances[n], f.nextID),
