Requests go through other instances while an instance has lost its endpoints

Besides, the instance recorded ends of endpoints that served on, which counts as evidence against requests at all instances.

Cause: an instance took its own links for all there is. A request had no way but them, each endpoint was found unreachable by itself, by requests that waited for it, and a refused connection was the end of a process once anything was heard from its zone, which other instances' reports are.

Now failures of several endpoints, or requests without a sign, at a time in which nothing is heard from a service lead to a check: new connections. If none is accepted, the service's paths are lost: only endpoints to which a connection was accepted since are used, found by probes, not by callers' requests, and nothing is held against the endpoints. Others learn it at once. What can't be placed goes to another instance that has not lost the service, of the own zone if possible; it sends it to one endpoint and is told those tried before. Attempts, quota and retries count where the caller is. A request is accepted only with the incarnation of the receiving process, which reports alone tell. A refused connection is an end only if another endpoint accepted one at that moment.

--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -41,6 +41,9 @@
 	// the instance accepts no new connections: two checks one second apart,
 	// and one in flight.
 	routedDrainDelay = 2500 * time.Millisecond
+	// idleCheckInterval is the interval of checks for forwarded requests in progress
+	// during a shutdown.
+	idleCheckInterval = 20 * time.Millisecond
 	// shutdownMargin is how long before the end of the grace time, when the
 	// process is killed, requests still in progress are aborted.
 	shutdownMargin = 500 * time.Millisecond
@@ -107,6 +110,13 @@
 			AcceptCloseDelimited: true,
 			AckTimeout:           endpointSilenceTimeout,
 		}),
+		Instances: endpoint.New(endpoint.Config{
+			ConnectTimeout:  endpointConnectTimeout,
+			IdleTimeout:     endpointIdleTimeout,
+			RequestIDHeader: platform.RequestIDHeader,
+			AckTimeout:      endpointSilenceTimeout,
+		}),
+		Incarnation: incarnation,
 		Dialect:     platform.Dialect{},
 		Now:         schedulerNow,
 		Post:        d.loop.Post,
@@ -209,7 +219,14 @@
 		}
 	}
 	relay := directory.RelayHandler(d.replica, boottime.Now)
-	if err := d.serveInternal(serveCtx, "relay", d.settings.GossipAddress, relay); err != nil {
+	internal := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if gateway.IsForwarded(r) {
+			d.handler.ServeForwarded(w, r)
+			return
+		}
+		relay.ServeHTTP(w, r)
+	})
+	if err := d.serveInternal(serveCtx, "instances", d.settings.GossipAddress, internal); err != nil {
 		return err
 	}
 	go d.watchSettings(serveCtx)
@@ -271,10 +288,24 @@
 	time.Sleep(min(routedDrainDelay, d.settings.Bounds.Grace()/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(d.settings.Bounds.Grace()-shutdownMargin))
 	defer cancel()
-	err := server.Shutdown(ctx)
+	err := errors.CombineErrors(server.Shutdown(ctx), d.waitIdle(ctx))
 	d.log.Info("stopped", "open_requests", d.handler.InFlight(), "took_ms", time.Since(started).Milliseconds(), "cut", err != nil)
 }
 
+// waitIdle waits until the requests that other instances forwarded have ended too.
+func (d *routedDaemon) waitIdle(ctx context.Context) error {
+	tick := time.NewTicker(idleCheckInterval)
+	defer tick.Stop()
+	for d.handler.InFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
 // watchSettings reloads the settings on SIGHUP or when the file's modification
 // time changes. Only the seeds are applied; other settings need a restart.
 func (d *routedDaemon) watchSettings(ctx context.Context) {
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -68,5 +68,9 @@
 	// EndpointHeader returns a copy of the caller's header, modified for the
 	// endpoint.
 	EndpointHeader(caller http.Header, info ForwardInfo) http.Header
+	// InstanceHeader returns a copy of the caller's header for another instance, with
+	// the time remaining for the answer and the id of the last event that the caller
+	// received; zero if none.
+	InstanceHeader(caller http.Header, remaining time.Duration, lastEventID int64) http.Header
 	ParseAnswer(status int, header http.Header) AnswerInfo
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/endpoint"
+	"github.com/balsamstair/balsamstair/internal/origin"
 	"github.com/balsamstair/balsamstair/internal/routing"
 	"github.com/balsamstair/balsamstair/internal/scheduler"
 	"github.com/cockroachdb/errors"
@@ -46,9 +47,15 @@
 	// For the log.
 	attempts int
 	endpoint string
-	// endpointVersion is the version of the endpoint's software.
+	// endpointVersion is the version of the endpoint's software, software identifies
+	// it.
 	endpointVersion string
-	queueTime       time.Duration
+	software        origin.Software
+	// forwarding is set for a request of another instance's caller. via is the address
+	// of the instance to which the request was forwarded last.
+	forwarding *scheduler.Forwarding
+	via        string
+	queueTime  time.Duration
 	// retryAfter is the delay that a refused caller was given.
 	retryAfter time.Duration
 	status     int
@@ -76,6 +83,10 @@
 				if x.attempt(d) {
 					return
 				}
+			case scheduler.Forward:
+				if x.forward(d) {
+					return
+				}
 			case scheduler.Refuse:
 				x.finishRefused(d)
 				return
@@ -93,16 +104,22 @@
 // attempt sends the request once and reports whether the exchange has ended.
 func (x *exchange) attempt(d scheduler.Dispatch) bool {
 	x.attempts = d.Attempt
-	x.endpoint, x.endpointVersion = d.Endpoint.ID, d.Endpoint.Version
+	x.endpoint, x.endpointVersion, x.software = d.Endpoint.ID, d.Endpoint.Version, d.Software
+	x.via = ""
 	x.queueTime += d.Waited
 	x.decisionFields = d.LogFields
 	a := x.send(d)
 	x.outcome = a.Outcome
 	x.h.post(scheduler.AttemptEnded{ID: x.id, Attempt: a})
-	if a.Outcome != scheduler.Completed && a.Outcome != scheduler.Abandoned {
+	return x.attemptEnded()
+}
+
+// attemptEnded reports whether the last attempt ended the exchange.
+func (x *exchange) attemptEnded() bool {
+	if x.outcome != scheduler.Completed && x.outcome != scheduler.Abandoned {
 		return false
 	}
-	if a.Outcome == scheduler.Abandoned {
+	if x.outcome == scheduler.Abandoned {
 		x.finishAbandoned()
 	}
 	return true
@@ -231,7 +248,7 @@
 	err := x.events.copy(answer.Body, func(events []byte) error {
 		if !started {
 			started = true
-			x.h.post(scheduler.AnswerStarted{ID: x.id})
+			x.h.post(scheduler.AnswerStarted{ID: x.id, Software: x.software})
 		}
 		if !continued && x.events.received > 1 {
 			continued = true
@@ -340,6 +357,7 @@
 	for name, values := range header {
 		to[name] = values
 	}
+	x.setInstanceHeaders()
 	if x.h.draining.Load() {
 		to.Set("Connection", "close")
 	}
@@ -368,5 +386,6 @@
 
 func (x *exchange) writeFailure(status int, retryAfter time.Duration) {
 	x.status = status
+	x.setRefusalHeaders()
 	x.h.writeFailure(x.w, status, string(x.reason), retryAfter)
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -48,6 +48,15 @@
 	return h
 }
 
+func (testDialect) InstanceHeader(caller http.Header, remaining time.Duration, lastEventID int64) http.Header {
+	h := caller.Clone()
+	h.Set("Timeout-Ms", strconv.FormatInt(remaining.Milliseconds(), 10))
+	if lastEventID > 0 {
+		h.Set("Last-Event-Id", strconv.FormatInt(lastEventID, 10))
+	}
+	return h
+}
+
 func (testDialect) ParseAnswer(status int, h http.Header) AnswerInfo {
 	return AnswerInfo{NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -51,8 +51,12 @@
 
 // Config configures a Handler.
 type Config struct {
-	Client  *endpoint.Client
-	Dialect Dialect
+	Client *endpoint.Client
+	// Instances connects to other instances.
+	Instances *endpoint.Client
+	// Incarnation is that of this process.
+	Incarnation uint64
+	Dialect     Dialect
 	// Now returns the current time of the scheduler's clock.
 	Now func() scheduler.Instant
 	// Post sends an event to the scheduler.
@@ -117,10 +121,14 @@
 	switch e := e.(type) {
 	case scheduler.Dispatch:
 		h.deliverDecision(e.ID, e)
+	case scheduler.Forward:
+		h.deliverDecision(e.ID, e)
 	case scheduler.Refuse:
 		h.deliverDecision(e.ID, e)
 	case scheduler.ProbeEndpoint:
 		go h.probe(e)
+	case scheduler.ProbePath:
+		go h.probePath(e)
 	case scheduler.ConfigAdopted:
 		h.table.Store(e.Table)
 	case scheduler.ConfigConfirmed:
@@ -150,25 +158,24 @@
 func (h *Handler) post(ev scheduler.Event) { h.cfg.Post(ev) }
 
 // ServeHTTP implements http.Handler.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serve(h.newExchange(w, r)) }
+
+func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
+	return &exchange{
 		h: h, w: w, r: r, started: time.Now(),
 		info:      h.cfg.Dialect.ParseRequest(r.Header),
 		decisions: make(chan scheduler.Effect, 2),
 	}
+}
+
+func (h *Handler) serve(x *exchange) {
 	table := h.table.Load()
 	if status, reason := x.resolve(table); status != 0 {
-		x.reason = scheduler.Reason(reason)
-		x.notRun = true
-		x.writeFailure(status, h.retryAfterLocalRefusal(status, x))
-		h.finish(x)
+		x.refuseLocally(status, reason)
 		return
 	}
 	if status, reason := x.readBody(table.Limits()); status != 0 {
-		x.reason = scheduler.Reason(reason)
-		x.notRun = true
-		x.writeFailure(status, h.retryAfterLocalRefusal(status, x))
-		h.finish(x)
+		x.refuseLocally(status, reason)
 		return
 	}
 	h.bodyBytesInUse.Add(int64(len(x.body)))
@@ -177,6 +184,14 @@
 	h.finish(x)
 }
 
+// refuseLocally ends a request without a decision of the scheduler.
+func (x *exchange) refuseLocally(status int, reason string) {
+	x.reason = scheduler.Reason(reason)
+	x.notRun = true
+	x.writeFailure(status, x.h.retryAfterLocalRefusal(status, x))
+	x.h.finish(x)
+}
+
 // localRetryAfter is the default retry delay for a caller that was refused
 // without a decision of the scheduler.
 const localRetryAfter = 500 * time.Millisecond
@@ -244,7 +259,11 @@
 	if x.r.ContentLength > limit {
 		return http.StatusRequestEntityTooLarge, reasonBodyTooLarge
 	}
-	if x.h.bodyBytesInUse.Load()+max(x.r.ContentLength, 0) > x.h.cfg.BodiesBytes {
+	bodies := x.h.cfg.BodiesBytes
+	if x.forwarding != nil {
+		bodies = int64(forwardedBodiesFraction * float64(bodies))
+	}
+	if x.h.bodyBytesInUse.Load()+max(x.r.ContentLength, 0) > bodies {
 		return http.StatusServiceUnavailable, reasonBodiesLimit
 	}
 	if x.r.ContentLength == 0 {
@@ -305,6 +324,12 @@
 	}()
 	defer x.limitWrites()()
 	defer x.recoverPanic()
+	if x.forwarding != nil {
+		// The instance that took the request from its caller counts the attempts.
+		oneAttempt := *x.route
+		oneAttempt.MaxAttempts = 1
+		x.route = &oneAttempt
+	}
 	now := h.cfg.Now()
 	h.post(scheduler.Arrived{Request: scheduler.Request{
 		ID:             x.id,
@@ -320,6 +345,7 @@
 		PromptParts:    x.info.PromptParts,
 		Resumes:        x.info.Resumes,
 		LastEventID:    x.info.LastEventID,
+		Forwarding:     x.forwarding,
 		CallerDeadline: now.Add(callerTimeout),
 		Deadline:       now.Add(remaining),
 	}})
@@ -421,6 +447,7 @@
 		"not_run", x.notRun, "retry_after_ms", x.retryAfter.Milliseconds(), "route", route, "organisation", org, "version", x.version,
 		"config_age_ms", h.cfg.Now().Sub(scheduler.Instant(h.configConfirmedAt.Load())).Milliseconds(),
 		"attempts", x.attempts, "endpoint", x.endpoint, "endpoint_version", x.endpointVersion, "outcome", outcome,
+		"via", x.via, "forwarded", x.forwarding != nil,
 		"resumes", x.info.Resumes, "resumes_after", x.info.LastEventID,
 		"queued_ms", x.queueTime.Milliseconds(), "first_event_ms", firstEvent.Milliseconds(),
 		"longest_pause_ms", x.events.longestGap.Milliseconds(), "prompt_tokens", x.info.PromptTokens,
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -15,15 +15,22 @@
 
 // probe connects to an endpoint and reports whether anything listens there.
 func (h *Handler) probe(p scheduler.ProbeEndpoint) {
+	result := h.connect(p.Endpoint.Address, "routed_probes_total")
+	h.post(scheduler.EndpointProbed{Endpoint: p.Endpoint.ID, Started: p.Endpoint.Started, Result: result})
+}
+
+// connect opens a connection to an address, which is kept for a later request, and
+// counts the result.
+func (h *Handler) connect(address, counter string) scheduler.ProbeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	result := scheduler.ProbeAccepted
-	if err := h.cfg.Client.Probe(ctx, p.Endpoint.Address); err != nil {
+	if err := h.cfg.Client.Probe(ctx, address); err != nil {
 		result = scheduler.ProbeUnknown
 		if errors.Is(err, endpoint.ErrRefused) {
 			result = scheduler.ProbeRefused
 		}
 	}
-	h.post(scheduler.EndpointProbed{Endpoint: p.Endpoint.ID, Started: p.Endpoint.Started, Result: result})
-	h.cfg.Counters.Add("routed_probes_total", result.String(), 1)
+	h.cfg.Counters.Add(counter, result.String(), 1)
+	return result
 }
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -42,6 +42,9 @@
 	for _, l := range r.Limits {
 		m.Limits = append(m.Limits, encodeLimit(l))
 	}
+	for _, p := range r.Paths {
+		m.Paths = append(m.Paths, &gossippb.ServicePaths{Service: p.Service, Reached: uint32(p.Reached)})
+	}
 	encodePermits(r, m)
 	encodeOrigins(r, m)
 	return proto.Marshal(m)
@@ -109,6 +112,9 @@
 		}
 		r.Limits = append(r.Limits, limit)
 	}
+	for _, p := range m.GetPaths() {
+		r.Paths = append(r.Paths, scheduler.ServicePaths{Service: p.GetService(), Reached: int(p.GetReached())})
+	}
 	decodePermits(m, &r)
 	decodeOrigins(m, &r)
 	return r, nil
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -35,6 +35,7 @@
 		},
 		OriginQueries: []scheduler.OriginQuery{{Attempt: 14, Services: []string{"s", "t"}, Memory: 30 * time.Second}},
 		OriginAnswers: []scheduler.OriginAnswer{{Attempt: 15, Recorded: true, Software: 16}, {Attempt: 17, Alone: true}},
+		Paths:         []scheduler.ServicePaths{{Service: "s", Reached: 3}},
 		Grants:        []scheduler.PermitGrant{{Endpoint: 8, Ask: 4, Number: 17, Permits: 2, Queued: 40 * time.Millisecond}},
 	}
 }
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/balsamstair/balsamstair/internal/origin"
 	"github.com/balsamstair/balsamstair/internal/routing"
 )
 
@@ -24,10 +25,28 @@
 		// Limited is set if the endpoint limits the rate of requests. AnswerReceived
 		// must follow once the head of the answer was received.
 		Limited bool
+		// Software is that of the endpoint.
+		Software origin.Software
 		// LogFields holds the inputs of the decision as alternating keys and values for
 		// the log.
 		LogFields []any
 	}
+	// Forward sends the request to another instance, which sends it to an endpoint.
+	// ForwardEnded must follow.
+	Forward struct {
+		ID RequestID
+		// Address is that of the instance, Incarnation that of its process.
+		Address     string
+		Incarnation uint64
+		Forwarding  Forwarding
+		// Attempt and Waited are as in Dispatch.
+		Attempt   int
+		Waited    time.Duration
+		LogFields []any
+	}
+	// ProbePath opens a connection to an endpoint to find out whether this instance
+	// reaches it. PathProbed must follow.
+	ProbePath struct{ Endpoint directory.Endpoint }
 	// ProbeEndpoint opens a connection to an endpoint to find out whether its
 	// process has ended. EndpointProbed must follow.
 	ProbeEndpoint struct{ Endpoint directory.Endpoint }
@@ -76,6 +95,8 @@
 )
 
 func (Dispatch) effect()        {}
+func (Forward) effect()         {}
+func (ProbePath) effect()       {}
 func (ProbeEndpoint) effect()   {}
 func (Refuse) effect()          {}
 func (ConfigAdopted) effect()   {}
@@ -116,6 +137,9 @@
 	// StreamVersionGone means that no endpoint runs the software that began the
 	// stream.
 	StreamVersionGone Reason = "stream_version_gone"
+	// PeerBusy means that another instance can't take the request of a caller of this
+	// one.
+	PeerBusy Reason = "peer_busy"
 	// AttemptsUsed means that the route allows no further attempt.
 	AttemptsUsed Reason = "attempts_used"
 	// RetryBudgetUsed means that the shared retry budget is used up.
@@ -129,7 +153,7 @@
 // Reasons returns the complete list of reasons.
 func Reasons() []Reason {
 	return []Reason{ConfigUnknown, ConfigStale, QuotaExceeded, NoEndpoint, QueueDelay, EndpointsFull,
-		LimitReached, CrashSuspect, StreamOriginUnknown, StreamVersionGone, AttemptsUsed, RetryBudgetUsed, NotRepeatable, DeadlinePassed}
+		LimitReached, CrashSuspect, StreamOriginUnknown, StreamVersionGone, PeerBusy, AttemptsUsed, RetryBudgetUsed, NotRepeatable, DeadlinePassed}
 }
 
 // Counter is the name of a counter.
@@ -154,6 +178,11 @@
 	// CounterTakenUp counts the streams that callers take up: bound to the software
 	// that began them, unknown, or gone with it.
 	CounterTakenUp Counter = "routed_streams_taken_up_total"
+	// CounterPaths counts how often the paths to the endpoints of a service were lost
+	// and found. CounterForwards counts requests that were sent to another instance, by
+	// outcome, and those received from one.
+	CounterPaths    Counter = "routed_paths_total"
+	CounterForwards Counter = "routed_forwards_total"
 	// CounterLimitStatements counts what endpoints said about their rate limits,
 	// by observed, reported or malformed.
 	CounterLimitStatements Counter = "routed_limit_statements_total"
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -73,10 +73,14 @@
 	// refusedAt is when its address refused a connection, or zero. The refusal
 	// counts once the path to its zone is known to exist.
 	refusedAt Instant
+	// zoneConfirmed is set once something was heard from its zone after that.
+	zoneConfirmed bool
 	// unanswered holds the recent attempts without a complete answer, the oldest
-	// first. probing is set while a ProbeEndpoint effect is in progress.
+	// first. probing is set while a ProbeEndpoint effect is in progress, which began at
+	// probedAt.
 	unanswered []unanswered
 	probing    bool
+	probedAt   Instant
 	// failures counts consecutive failures.
 	failures       int
 	suspendedUntil Instant
@@ -235,11 +239,17 @@
 	switch a.Outcome {
 	case NotSent, Broken:
 		failed = 1
-		s.pathFailed(e)
-		s.suspend(e)
-		if a.Refused {
+		blamed := s.blame(e)
+		if blamed {
+			s.suspend(e)
+		}
+		if a.Refused && s.now.Sub(r.dispatched) <= maxRefusalDelay {
 			s.connectionRefused(e)
 		}
+		s.pathFailed(e)
+		if !blamed || s.pool(e.Service).paths.lost {
+			return
+		}
 	case Misdirected:
 		e.suspendedUntil = s.now.Add(maxSuspension)
 		s.endpointEnded(e, EndpointReplaced)
--- a/internal/scheduler/endpoint_end.go
+++ b/internal/scheduler/endpoint_end.go
@@ -43,6 +43,9 @@
 	// accepted is set if the endpoint's address accepted a connection after the
 	// attempt: the process lives, or another one has already taken its place.
 	accepted bool
+	// inDoubt is set if the attempt may have failed since this instance lost its own
+	// paths. Then only the refusal of a connection while others are accepted counts.
+	inDoubt bool
 }
 
 // EndEvidence is how an instance learned that an endpoint's process has ended.
@@ -75,12 +78,13 @@
 	broken := a.Outcome == Broken
 	u := unanswered{
 		fingerprint: r.Fingerprint, parts: r.PromptParts, causes: r.causes, request: r.Name, at: s.now, broken: broken,
+		inDoubt: s.pool(e.Service).paths.lost,
 	}
 	switch {
-	case e.endedAt != 0 && !r.begun:
+	case e.endedAt >= r.dispatched && !r.begun:
 		s.recordCrash(e, u)
 		return
-	case e.endedAt != 0:
+	case e.endedAt >= r.dispatched:
 		return
 	case !r.begun:
 		if len(e.unanswered) >= maxUnanswered {
@@ -90,7 +94,7 @@
 	}
 	s.withUnanswered[e.incarnation()] = e
 	if (broken || e.entryRemoved && !a.AnswerStarted) && !e.probing {
-		e.probing = true
+		e.probing, e.probedAt = true, s.now
 		s.emit(ProbeEndpoint{Endpoint: e.Endpoint})
 	}
 }
@@ -120,7 +124,9 @@
 	s.evidenceChanged = true
 	switch ev.Result {
 	case ProbeRefused:
-		s.connectionRefused(e)
+		if s.now.Sub(e.probedAt) <= maxRefusalDelay {
+			s.connectionRefused(e)
+		}
 	case ProbeAccepted:
 		for k := range e.unanswered {
 			e.unanswered[k].accepted = true
@@ -137,14 +143,13 @@
 // evidence until something else is heard from the endpoint's zone.
 func (s *State) connectionRefused(e *endpoint) {
 	s.doubtProcess(e)
-	if !s.members.knownInZone(e.Zone) {
-		s.endpointEnded(e, ConnectionRefused)
-		return
-	}
 	if e.refusedAt == 0 || s.now.Sub(e.refusedAt) > pathProofWindow {
-		e.refusedAt = s.now
+		e.refusedAt, e.zoneConfirmed = s.now, !s.members.knownInZone(e.Zone)
 	}
 	s.withUnanswered[e.incarnation()] = e
+	if !s.confirmRefusal(e) && e.endedAt == 0 {
+		s.probeWitnesses(e)
+	}
 }
 
 // zoneReached records that packets passed between this instance and a zone at a
@@ -158,7 +163,8 @@
 		if since := at.Sub(e.refusedAt); since > pathProofWindow {
 			e.refusedAt = 0
 		} else if since >= pathProofDelay {
-			s.endpointEnded(e, ConnectionRefused)
+			e.zoneConfirmed = true
+			s.confirmRefusal(e)
 		}
 	}
 }
@@ -187,10 +193,10 @@
 	if evidence != EntryRemoved {
 		e.endedAt = s.now
 	}
-	e.probing, e.refusedAt = false, 0
+	e.probing, e.refusedAt, e.zoneConfirmed = false, 0, false
 	attributed := 0
 	for _, u := range e.unanswered {
-		if evidence == EntryRemoved && u.accepted {
+		if evidence == EntryRemoved && u.accepted || evidence != ConnectionRefused && u.inDoubt {
 			continue
 		}
 		s.recordCrash(e, u)
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -40,6 +40,8 @@
 	// event that the caller has, or zero.
 	Resumes     string
 	LastEventID int64
+	// Forwarding is set for a request of another instance's caller.
+	Forwarding *Forwarding
 	// CallerDeadline is the time until which the caller waits. Deadline is the
 	// earlier of CallerDeadline and the route's timeout.
 	CallerDeadline Instant
@@ -129,8 +131,12 @@
 	// CallerGone reports that the caller disconnected, or that its deadline
 	// passed, while the request was queued.
 	CallerGone struct{ ID RequestID }
-	// AnswerStarted reports that the first event of a stream was received.
-	AnswerStarted struct{ ID RequestID }
+	// AnswerStarted reports that the first event of a stream was received. Software is
+	// the one that began it if another instance forwards the answer.
+	AnswerStarted struct {
+		ID       RequestID
+		Software origin.Software
+	}
 	// AnswerContinued reports that the second event of a stream was received, so
 	// that the request has not crashed its endpoint.
 	AnswerContinued struct{ ID RequestID }
@@ -145,6 +151,24 @@
 		ID      RequestID
 		Attempt Attempt
 	}
+	// ForwardEnded reports that a request sent to another instance by Forward has
+	// ended there.
+	ForwardEnded struct {
+		ID      RequestID
+		Attempt Attempt
+		// Endpoint is the ID of the endpoint to which the other instance sent it, or
+		// empty if it sent it to none.
+		Endpoint string
+		// Reason and RetryAfter are those of the other instance's refusal. An empty
+		// Reason means that it did not refuse the request.
+		Reason     Reason
+		RetryAfter time.Duration
+	}
+	// PathProbed reports the result of a ProbePath effect.
+	PathProbed struct {
+		Endpoint directory.Endpoint
+		Result   ProbeResult
+	}
 	// EndpointProbed reports the result of a ProbeEndpoint effect. Endpoint and
 	// Started identify the incarnation that was probed.
 	EndpointProbed struct {
@@ -170,6 +194,8 @@
 func (AnswerContinued) event() {}
 func (AnswerReceived) event()  {}
 func (AttemptEnded) event()    {}
+func (ForwardEnded) event()    {}
+func (PathProbed) event()      {}
 func (DirectoryRead) event()   {}
 func (EndpointProbed) event()  {}
 func (PeerReported) event()    {}
@@ -220,11 +246,20 @@
 	Origins       []StreamOrigin
 	OriginQueries []OriginQuery
 	OriginAnswers []OriginAnswer
+	// Paths lists the services of which the sender has lost paths to endpoints.
+	Paths []ServicePaths
 	// Asks and Grants concern the permits for endpoints with rate limits.
 	Asks   []PermitAsk
 	Grants []PermitGrant
 }
 
+// ServicePaths tells that an instance has lost paths to the endpoints of a service.
+type ServicePaths struct {
+	Service string
+	// Reached is the number of endpoints that it still reaches.
+	Reached int
+}
+
 // Usage is the sender's admitted cost for one organisation.
 type Usage struct {
 	Organisation string
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -23,7 +23,11 @@
 	reports    []SendReport
 	// probes are the probes that were not answered yet.
 	probes []ProbeEndpoint
-	ready  bool
+	// pathsCut is set while the instance's connections to endpoints fail. Probes of
+	// paths are answered at once.
+	pathsCut bool
+	forwards []Forward
+	ready    bool
 	// reportsSent is the number of reports of reportFrom.
 	reportsSent uint64
 	revision    int64
@@ -57,6 +61,14 @@
 			i.refused[e.ID] = e
 		case ProbeEndpoint:
 			i.probes = append(i.probes, e)
+		case ProbePath:
+			result := ProbeAccepted
+			if i.pathsCut {
+				result = ProbeUnknown
+			}
+			i.step(PathProbed{Endpoint: e.Endpoint, Result: result})
+		case Forward:
+			i.forwards = append(i.forwards, e)
 		case SendReport:
 			i.reports = append(i.reports, e)
 		case ReadyChanged:
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -50,6 +50,13 @@
 	version int64
 	// demand is the cost per second of the requests received by the member.
 	demand float64
+	// lostPaths holds the services of which the member has lost paths, with the number
+	// of endpoints that it reaches; nil if there are none.
+	lostPaths map[string]int
+	// forwards is the number of this instance's requests at the member, which gets no
+	// more before avoidUntil.
+	forwards   int
+	avoidUntil Instant
 	// loads lists the endpoints for which the member has reported a load.
 	loads []string
 }
@@ -207,6 +214,9 @@
 		if x != nil && x.incarnation == r.Incarnation {
 			x.sequence = r.Sequence
 			s.applyLoadUpdate(x, r.Loads)
+			if len(r.Paths) > 0 {
+				s.applyPathReport(x, r.Paths)
+			}
 		}
 		return
 	}
@@ -235,6 +245,7 @@
 	x.lastContact = s.now
 	s.zoneReached(x.zone, s.now)
 	x.demand = r.Demand
+	s.applyPathReport(x, r.Paths)
 	s.versionReported(x, r.Version)
 	s.probeUnknownMembers(r.Members)
 	s.applyUsage(x, r.Usage, newlyConnected)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -28,8 +28,7 @@
 	// sinceLowestRank counts the dispatches since a request of the lowest waiting
 	// rank was dispatched out of order.
 	sinceLowestRank int
-	// pathsLost is set while the latest signs of all endpoints are failures.
-	pathsLost bool
+	paths           servicePaths
 }
 
 type latencyKey struct {
@@ -40,7 +39,7 @@
 func (s *State) pool(service string) *pool {
 	p := s.pools[service]
 	if p == nil {
-		p = &pool{service: service, latencyMeans: map[latencyKey]float64{}, lastArrival: never}
+		p = &pool{service: service, latencyMeans: map[latencyKey]float64{}, lastArrival: never, paths: servicePaths{foundAt: never, heardAt: s.now}}
 		s.pools[service] = p
 		s.poolOrder = append(s.poolOrder, p)
 	}
@@ -130,6 +129,9 @@
 			r, e = s.firstPlaceable(p)
 		}
 		if e == nil {
+			if s.forwardWaiting(p) {
+				continue
+			}
 			return
 		}
 		p.sinceLowestRank++
@@ -253,6 +255,9 @@
 	if e.Leaving || s.now < e.suspendedUntil || s.now < e.pausedUntil {
 		return false
 	}
+	if paths := &s.pool(e.Service).paths; paths.lost && !e.path.reaches(paths.lostAt) {
+		return false
+	}
 	return e.failures == 0 || e.ownRunning == 0
 }
 
--- /dev/null
+++ b/internal/scheduler/refusal_proof.go
@@ -0,0 +1,124 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// witnessTime is how long after a refused connection one to a witness must begin: a
+// cut may end between the two.
+const witnessTime = 10 * time.Millisecond
+
+// maxRefusalDelay is how long a connection may take to be refused. A process that was
+// paused meanwhile learns of the refusal when it no longer holds.
+const maxRefusalDelay = 100 * time.Millisecond
+
+// maxWitnesses limits the endpoints of the same service to which connections are
+// opened after one has refused its own.
+const maxWitnesses = 2
+
+// probeWitnesses opens connections to other endpoints, first of the same zone, to
+// find out whether it is this instance whose connections are refused.
+func (s *State) probeWitnesses(e *endpoint) {
+	witnesses := 0
+	for _, sameZone := range []bool{true, false} {
+		for _, other := range s.pool(e.Service).endpoints {
+			if witnesses < maxWitnesses && other != e && (other.Zone == e.Zone) == sameZone && other.path.failedAt <= other.path.provedAt && s.probePath(other) {
+				witnesses++
+			}
+		}
+	}
+	for _, p := range s.poolOrder {
+		if p.service == e.Service {
+			continue
+		}
+		if k := slices.IndexFunc(p.endpoints, func(other *endpoint) bool { return other.Zone == e.Zone && !other.Leaving }); k >= 0 {
+			s.probePath(p.endpoints[k])
+		}
+	}
+}
+
+// confirmRefusals applies new evidence about the own paths to the connections that
+// were refused.
+func (s *State) confirmRefusals() {
+	for _, e := range s.withUnanswered {
+		if e.refusedAt != 0 {
+			s.confirmRefusal(e)
+		}
+	}
+}
+
+// confirmRefusal concludes from a refused connection that an endpoint has ended, if
+// its zone was heard of since and the own paths are sound.
+func (s *State) confirmRefusal(e *endpoint) bool {
+	if !e.zoneConfirmed || !s.pathsSoundAt(e) {
+		return false
+	}
+	s.endpointEnded(e, ConnectionRefused)
+	return true
+}
+
+// pathsSoundAt reports whether this instance's own paths are known to have been sound
+// when an endpoint refused a connection: another endpoint of the service accepted
+// one. If none does, those of other services must, and all reachable instances must
+// have lost the service too.
+func (s *State) pathsSoundAt(e *endpoint) bool {
+	alone := true
+	for _, other := range s.pool(e.Service).endpoints {
+		if other == e || other.Leaving {
+			continue
+		}
+		if other.path.vouches(e.refusedAt) {
+			return true
+		}
+		if other.endedAt == 0 {
+			alone = false
+		}
+	}
+	others, connected := false, false
+	for _, p := range s.poolOrder {
+		for _, other := range p.endpoints {
+			if p.service != e.Service && !other.Leaving {
+				others = true
+				connected = connected || other.path.vouches(e.refusedAt)
+			}
+		}
+	}
+	if !others {
+		return alone
+	}
+	return connected && (alone || s.lostElsewhere(e.Service))
+}
+
+// vouches reports whether the endpoint accepted a connection that was opened directly
+// after another one had refused its own.
+func (p *endpointPath) vouches(refusedAt Instant) bool {
+	since := p.connectedAt.Sub(refusedAt)
+	return since >= 0 && since <= witnessTime
+}
+
+// lostElsewhere reports whether the reachable instances, of which there are some,
+// have all lost the service too.
+func (s *State) lostElsewhere(service string) bool {
+	found := false
+	for _, x := range s.members.byAddress {
+		if !s.members.reachable(x, s.now) {
+			continue
+		}
+		if reached, lost := x.lostPaths[service]; !lost || reached > 0 {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+// doubtUnanswered marks the attempts that failed after a time as failures that may be
+// those of the own paths.
+func (e *endpoint) doubtUnanswered(after Instant) {
+	for k := range e.unanswered {
+		if e.unanswered[k].at > after {
+			e.unanswered[k].inDoubt = true
+		}
+	}
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -110,6 +110,7 @@
 		Loads:         s.loadReport(),
 		Crashes:       s.crashReport(s.crashes.Next(maxReportedCrashes)),
 		Limits:        s.limitReport(),
+		Paths:         s.pathReport(),
 	}
 	if s.table != nil {
 		report.Version = s.table.Version()
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -18,6 +18,11 @@
 	tried []string
 	// endpoint is where the request runs, or nil while it is queued.
 	endpoint *endpoint
+	// peer is the address of the instance at which the request is, or empty;
+	// peerIncarnation is that of its process. peersTried holds all of them.
+	peer            string
+	peerIncarnation uint64
+	peersTried      []string
 	// prefilling is set while the request runs and its answer has not started.
 	prefilling bool
 	// dispatched is when the request was last sent to an endpoint.
@@ -80,7 +85,12 @@
 	p := s.pool(q.Service)
 	p.lastArrival = s.now
 	p.arrivals.add(1)
-	p.budget.recordRequest(s.now)
+	if q.Forwarding != nil {
+		s.count(CounterForwards, "received")
+		r.tried = slices.Clone(q.Forwarding.Tried)
+	} else {
+		p.budget.recordRequest(s.now)
+	}
 	if reason, retry := s.admit(r, p); reason != "" {
 		s.refuse(r, reason, retry)
 		return
@@ -89,9 +99,18 @@
 	if r.Organisation != nil {
 		r.rank.organisation = r.Organisation.Priority
 	}
-	s.charge(r)
 	s.requests[r.ID] = r
-	if r.continues() {
+	if q.Forwarding != nil {
+		s.forwarded++
+		if q.Forwarding.Software != origin.Unknown && !s.bind(r, q.Forwarding.Software) {
+			s.refuseHeld(r, StreamVersionGone)
+			return
+		}
+		p = s.pool(r.Service)
+	} else {
+		s.charge(r)
+	}
+	if r.continues() && !r.bound {
 		s.findOrigin(r, p)
 		return
 	}
@@ -111,6 +130,9 @@
 	case !s.hasAvailableEndpoint(p):
 		return NoEndpoint, s.retryAfter(r)
 	}
+	if r.Forwarding != nil {
+		return s.admitForwarded(r, p), 0
+	}
 	if wait := s.quotaWait(r); wait > 0 {
 		return QuotaExceeded, s.jitteredRetryAfter(r, wait)
 	}
@@ -159,15 +181,21 @@
 	}
 	s.countPassedOver(r)
 	s.emit(Dispatch{
-		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued), Limited: e.limited(),
+		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued), Limited: e.limited(), Software: r.sentTo,
 		LogFields: []any{"endpoint_load", e.load(), "endpoint_slots", e.slots, "endpoint_backlog_tokens", e.backlog(),
 			"waiting", len(s.pool(r.Service).waiting), "origin", r.originSource, "origin_wait_ms", r.originWait.Milliseconds()},
 	})
 }
 
 // answerStarted records that the endpoint has processed the request's prompt.
-func (s *State) answerStarted(id RequestID) {
-	if r := s.requests[id]; r != nil && r.endpoint != nil {
+func (s *State) answerStarted(id RequestID, software origin.Software) {
+	r := s.requests[id]
+	switch {
+	case r == nil:
+	case r.peer != "":
+		r.sentTo = software
+		r.streamBegun()
+	case r.endpoint != nil:
 		r.endPrefill()
 		r.streamBegun()
 		r.endpoint.growWindow()
@@ -177,8 +205,11 @@
 
 // answerContinued records that the request does not crash its endpoint.
 func (s *State) answerContinued(id RequestID) {
-	if r := s.requests[id]; r != nil && r.endpoint != nil {
+	if r := s.requests[id]; r != nil && (r.endpoint != nil || r.peer != "") {
 		r.begun = true
+		if r.endpoint != nil {
+			s.pool(r.Service).paths.heardAt = s.now
+		}
 		s.requestSound(r)
 		s.endTrial(r)
 	}
@@ -207,9 +238,12 @@
 		return
 	}
 	p := s.pool(r.Service)
-	if r.endpoint != nil {
+	switch {
+	case r.endpoint != nil:
 		s.releaseSlot(r)
-	} else {
+	case r.peer != "":
+		s.endForward(r)
+	default:
 		p.dequeue(r)
 	}
 	s.removeRequest(r)
@@ -219,6 +253,9 @@
 // removeRequest ends a request and refunds its charge if it never ran.
 func (s *State) removeRequest(r *request) {
 	s.endTrial(r)
+	if r.Forwarding != nil {
+		s.forwarded--
+	}
 	if !r.mayHaveRun {
 		s.refund(r)
 	}
@@ -288,7 +325,7 @@
 	if a.Outcome == Completed || a.Outcome == Abandoned {
 		s.removeRequest(r)
 	} else {
-		s.retryOrRefuse(r, e, a)
+		s.retryOrRefuse(r, e.ID, a)
 	}
 	s.dispatchWaiting(s.pool(e.Service))
 }
@@ -315,20 +352,20 @@
 }
 
 // retryOrRefuse queues a request again after a failed attempt, or refuses it.
-func (s *State) retryOrRefuse(r *request, failed *endpoint, a Attempt) {
+func (s *State) retryOrRefuse(r *request, failed string, a Attempt) {
 	p := s.pool(r.Service)
 	if reason := s.retryRefusal(r, p, a); reason != "" {
 		s.refuseHeld(r, reason)
 		return
 	}
-	if a.Outcome == NotSent {
+	if a.Outcome == NotSent && failed != "" && len(r.tried) > 0 && r.tried[len(r.tried)-1] == failed {
 		// Nothing reached the endpoint, so the attempt does not count.
 		r.tried = r.tried[:len(r.tried)-1]
-	} else {
+	} else if a.Outcome != NotSent {
 		p.budget.recordRetry(s.now)
 	}
 	s.count(CounterRetries, a.Outcome.String())
-	s.log("request_retried", "request", r.Name, "after", a.Outcome.String(), "endpoint", failed.ID,
+	s.log("request_retried", "request", r.Name, "after", a.Outcome.String(), "at", failed,
 		"attempts", len(r.tried), "left_ms", r.Deadline.Sub(s.now).Milliseconds())
 	r.queued = s.now
 	p.enqueue(r)
--- a/internal/scheduler/simulation_links_test.go
+++ b/internal/scheduler/simulation_links_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/shoenig/test/must"
 )
 
@@ -262,3 +263,59 @@
 	next := interval/2 + time.Duration(f.rand.Int64N(int64(interval)))
 	f.after(next, func() { f.injectCuts(interval, d-next) })
 }
+
+// forward sends a request to another instance. Nothing arrives at one that is down.
+func (f *simulation) forward(i *simInstance, e Forward) {
+	key := simRequest{i, e.ID}
+	request, known := f.requests[key]
+	peer := f.byAddress[e.Address]
+	if !known || peer.down || peer.paused || peer.incarnation != e.Incarnation || !f.connected(i.zone, peer.zone) {
+		f.after(simConnectTimeout, func() { f.step(i, ForwardEnded{ID: e.ID, Attempt: Attempt{Outcome: NotSent}}) })
+		return
+	}
+	f.nextID++
+	request.ID = f.nextID
+	oneAttempt := *request.Route
+	oneAttempt.MaxAttempts = 1
+	request.Route, request.Forwarding = &oneAttempt, &e.Forwarding
+	f.forwards[simRequest{peer, request.ID}] = key
+	f.after(simDelay, func() { f.step(peer, Arrived{Request: request}) })
+}
+
+// endForward passes the end of a forwarded request on to its sender.
+func (f *simulation) endForward(peer *simInstance, id RequestID, ended ForwardEnded) {
+	key, forwarded := f.forwards[simRequest{peer, id}]
+	if !forwarded {
+		return
+	}
+	delete(f.forwards, simRequest{peer, id})
+	ended.ID = key.id
+	if ended.Attempt.Outcome == Completed {
+		f.links.completed(key.at, key.id)
+	}
+	f.after(simDelay, func() { f.step(key.at, ended) })
+}
+
+// refusalAt returns what the sender of a forwarded request learns of its refusal.
+func refusalAt(e Refuse) ForwardEnded {
+	if e.NotRun {
+		return ForwardEnded{Attempt: Attempt{Outcome: NotRun}, Reason: e.Reason, RetryAfter: e.RetryAfter}
+	}
+	return ForwardEnded{Attempt: Attempt{Outcome: Broken}, Endpoint: "unknown", Reason: e.Reason}
+}
+
+// probePath answers a probe of the path to an endpoint.
+func (f *simulation) probePath(i *simInstance, e directory.Endpoint) {
+	delay, result, incarnation := 2*simDelay, ProbeAccepted, i.incarnation
+	switch mode := f.links.mode(i, e.Zone); {
+	case mode == linkHangs, !f.connected(i.zone, e.Zone):
+		delay, result = simConnectTimeout, ProbeUnknown
+	case mode == linkResets, !f.listening(e.Address):
+		result = ProbeRefused
+	}
+	f.after(delay, func() {
+		if i.incarnation == incarnation {
+			f.step(i, PathProbed{Endpoint: e, Result: result})
+		}
+	})
+}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -42,6 +42,9 @@
 	parts *simParts
 	// streams is the part in which streams are resumed and taken up again.
 	streams *simStreams
+	// requests are those of runLoad, forwards holds the senders of forwarded requests.
+	requests map[simRequest]Request
+	forwards map[simRequest]simRequest
 	// links is the part in which instances lose their links to engines.
 	links *simLinks
 }
@@ -121,7 +124,7 @@
 func newVersionedSimulation(instances, zones, engines, slots int, versions ...string) *simulation {
 	f := &simulation{
 		now: Instant(time.Hour), rand: rand.New(rand.NewPCG(1, 2)), byAddress: map[string]*simInstance{},
-		serviceTime: simServiceTime, engines: map[string]*simEngine{},
+		serviceTime: simServiceTime, engines: map[string]*simEngine{}, requests: map[simRequest]Request{}, forwards: map[simRequest]simRequest{},
 	}
 	var entries []directory.Change
 	for n := range engines {
@@ -223,10 +226,15 @@
 			f.refused++
 			f.crashes.refused(e.Reason)
 			f.limits.refused(f, i, e)
+			f.endForward(i, e.ID, refusalAt(e))
 			f.parts.refused(i, e)
 			f.links.refused(i, e)
 			f.streams.refused(f, i, e)
 			f.crashes.finished(i, e.ID)
+		case Forward:
+			f.forward(i, e)
+		case ProbePath:
+			f.probePath(i, e.Endpoint)
 		case Counted:
 			f.limits.counted(e)
 			f.links.counted(e)
@@ -292,6 +300,7 @@
 		f.streams.completed(job)
 		if reached {
 			f.links.completed(job.at, job.id)
+			f.endForward(job.at, job.id, ForwardEnded{Endpoint: e.id, Attempt: Attempt{Outcome: Completed}})
 			f.stepJob(job, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: Completed, FirstByte: 200 * time.Millisecond}})
 		}
 		if len(e.waiting) > 0 {
@@ -316,12 +325,14 @@
 		f.nextID++
 		r := f.limits.route(f, f.instances[n])
 		f.links.arrived(f, f.instances[n], f.nextID)
-		f.step(f.instances[n], Arrived{Request: Request{
+		request := Request{
 			ID: f.nextID, Name: "r", Version: 1, Route: r, Service: service, Fingerprint: f.crashes.fingerprint(f.nextID), PromptTokens: 2000, Tokens: 2100,
 			PromptParts:    f.parts.arriving(f, f.instances[n], f.nextID),
 			Organisation:   &f.instances[n].s.table.Organisations()[f.nextID%16],
 			CallerDeadline: f.now.Add(5 * time.Second), Deadline: f.now.Add(5 * time.Second),
-		}})
+		}
+		f.requests[simRequest{f.instances[n], f.nextID}] = request
+		f.step(f.instances[n], Arrived{Request: request})
 		f.after(time.Duration(f.rand.ExpFloat64()/rate*float64(time.Second)), arrive)
 	}
 	arrive()
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -122,8 +122,10 @@
 	startedBehind     bool
 	// asksSent and grantsSent number the asks and grants of this instance.
 	asksSent, grantsSent uint64
-	leaving              bool
-	ready                bool
+	// forwarded is the number of requests of other instances in progress here.
+	forwarded int
+	leaving   bool
+	ready     bool
 }
 
 // New returns the state of a process that starts now, without configuration or
@@ -166,13 +168,17 @@
 	case CallerGone:
 		s.callerGone(ev.ID)
 	case AnswerStarted:
-		s.answerStarted(ev.ID)
+		s.answerStarted(ev.ID, ev.Software)
 	case AnswerContinued:
 		s.answerContinued(ev.ID)
 	case AnswerReceived:
 		s.answerReceived(ev.ID, ev.Limit)
 	case AttemptEnded:
 		s.attemptEnded(ev.ID, ev.Attempt)
+	case ForwardEnded:
+		s.forwardEnded(ev)
+	case PathProbed:
+		s.pathProbed(ev)
 	case DirectoryRead:
 		s.directoryRead(ev.Update)
 	case PeerReported:
--- a/internal/scheduler/stream_origin.go
+++ b/internal/scheduler/stream_origin.go
@@ -39,7 +39,7 @@
 // originAttempt identifies the attempt that brings, or brought, the first event.
 func (q *Request) originAttempt() origin.Attempt {
 	name, organisation := q.Name, ""
-	if q.continues() {
+	if q.continues() && (q.Forwarding == nil || q.Resumes != "") {
 		name = q.Resumes
 	}
 	if q.Organisation != nil {
