--- a/internal/scheduler/path.go
+++ b/internal/scheduler/path.go
@@ -159,6 +159,9 @@
 	e.path.provedAt, e.path.connectedAt, e.path.failures = max(e.path.provedAt, began), began, 0
 	p.paths.heardAt = s.now
 	s.confirmRefusals()
+	if s.refusedSince(e.Service, began) {
+		s.probePath(e)
+	}
 	if returned {
 		e.failures, e.suspendedUntil = 0, 0
 		s.slowStart(e)
--- a/internal/scheduler/refusal_proof.go
+++ b/internal/scheduler/refusal_proof.go
@@ -48,6 +48,17 @@
 	}
 }
 
+// refusedSince reports whether an endpoint of a service refused a connection after an
+// instant, so that one accepted before is no witness, and still waits for one.
+func (s *State) refusedSince(service string, since Instant) bool {
+	for _, e := range s.withUnanswered {
+		if e.Service == service && e.refusedAt > since && s.now.Sub(e.refusedAt) <= witnessTime {
+			return true
+		}
+	}
+	return false
+}
+
 // confirmRefusal concludes from a refused connection that an endpoint has ended, if
 // its zone was heard of since and the own paths are sound.
 func (s *State) confirmRefusal(e *endpoint) bool {
