Forwarded requests: attempts, endpoints and software known to the sender

Tests of two gateways showed that a stream's head did not name its endpoint and software, so that a forwarded stream that broke could not go on, that the only other instance was not asked again after an endpoint had failed there, and that an instance without paths took its refused connections for signs of replaced processes (stream_version_gone).

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -80,6 +80,9 @@
 	body string
 }
 
+// testIncarnation is that of the gateway's process, as other instances know it.
+const testIncarnation = 7
+
 func now() scheduler.Instant { return scheduler.Instant(boottime.Now()) }
 
 // rawReply writes raw bytes as the answer to the nth request that the
@@ -94,8 +97,10 @@
 		Bounds: scheduler.Bounds{Revocation: time.Hour, RetryRatio: 1, RetryExtra: 100, RetryWindow: 10 * time.Second},
 	}, now()), now)
 	s.handler = NewHandler(Config{
-		Client:  endpoint.New(endpoint.Config{RequestIDHeader: "Id", AcceptCloseDelimited: true, ConnectTimeout: time.Second}),
-		Dialect: testDialect{}, Now: now, Post: s.loop.Post, Log: logline.Discard(),
+		Client:      endpoint.New(endpoint.Config{RequestIDHeader: "Id", AcceptCloseDelimited: true, ConnectTimeout: time.Second}),
+		Instances:   endpoint.New(endpoint.Config{RequestIDHeader: "Id", ConnectTimeout: time.Second}),
+		Incarnation: testIncarnation,
+		Dialect:     testDialect{}, Now: now, Post: s.loop.Post, Log: logline.Discard(),
 		Counters: operator.NewCounters(), BodiesBytes: 1 << 20,
 	})
 	s.loop.AddEffectHandlers(s.handler.HandleEffect)
@@ -141,12 +146,28 @@
 			go s.serveEndpoint(conn, n, answer)
 		}
 	}()
+	return endpointEntry(n, listener.Addr().String())
+}
+
+// entry returns the entry of an endpoint that was started.
+func (s *testGateway) entry(n int) directory.Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return endpointEntry(n, s.listeners[n].Addr().String())
+}
+
+// entryAt returns the entry of an endpoint at an address.
+func (s *testGateway) entryAt(address string) directory.Change { return endpointEntry(0, address) }
+
+func endpointEntry(n int, address string) directory.Change {
 	id := fmt.Sprintf("e%d", n)
 	return directory.Change{EndpointID: id, Endpoint: &directory.Endpoint{
-		ID: id, Service: "s", Address: listener.Addr().String(), Zone: "z", Slots: 4, Started: 1,
+		ID: id, Service: "s", Address: address, Zone: "z", Slots: 4, Started: 1,
 	}}
 }
 
+func configChange(c *routing.Config) directory.Change { return directory.Change{Config: c} }
+
 func (s *testGateway) serveEndpoint(conn net.Conn, n int, answer rawReply) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -78,10 +78,10 @@
 	h.serve(x)
 }
 
-// setInstanceHeaders tells the instance that forwarded the request which endpoint it
-// was sent to.
+// setInstanceHeaders tells the instance that forwarded the request which endpoint got
+// it.
 func (x *exchange) setInstanceHeaders() {
-	if x.forwarding == nil || x.attempts == 0 || x.outcome == scheduler.NotSent || x.outcome == scheduler.Misdirected {
+	if x.forwarding == nil {
 		return
 	}
 	header := x.w.Header()
@@ -96,7 +96,9 @@
 	if x.forwarding == nil {
 		return
 	}
-	x.setInstanceHeaders()
+	if x.attempts > 0 && x.outcome != scheduler.NotSent && x.outcome != scheduler.Misdirected {
+		x.setInstanceHeaders()
+	}
 	x.w.Header().Set(headerRefused, string(x.reason))
 	if x.notRun {
 		x.w.Header().Set(headerNotRun, "1")
--- a/internal/scheduler/endpoint_end.go
+++ b/internal/scheduler/endpoint_end.go
@@ -142,7 +142,9 @@
 // Some partitions refuse connections in place of dropping packets, so this is no
 // evidence until something else is heard from the endpoint's zone.
 func (s *State) connectionRefused(e *endpoint) {
-	s.doubtProcess(e)
+	if !s.pool(e.Service).paths.lost {
+		s.doubtProcess(e)
+	}
 	if e.refusedAt == 0 || s.now.Sub(e.refusedAt) > pathProofWindow {
 		e.refusedAt, e.zoneConfirmed = s.now, !s.members.knownInZone(e.Zone)
 	}
--- a/internal/scheduler/forward.go
+++ b/internal/scheduler/forward.go
@@ -119,13 +119,16 @@
 	if r == nil || r.peer == "" {
 		return
 	}
-	x, peer := s.endForward(r), r.peer
+	peer := r.peer
+	x := s.endForward(r)
 	a := ev.Attempt
 	s.count(CounterForwards, a.Outcome.String())
 	if ev.Endpoint == "" {
 		r.tried = r.tried[:len(r.tried)-1]
 	} else {
 		r.tried[len(r.tried)-1] = ev.Endpoint
+		// The instance reached an endpoint, so it may be asked again.
+		r.peersTried = slices.DeleteFunc(r.peersTried, func(a string) bool { return a == peer })
 		if e := s.endpoints[ev.Endpoint]; e != nil && a.Outcome != Broken && a.Outcome != Abandoned {
 			s.answeredElsewhere(e, r.dispatched)
 		}
@@ -133,7 +136,7 @@
 	if a.Outcome != NotSent && a.Outcome != NotRun {
 		r.mayHaveRun = true
 	}
-	if x != nil && (a.Outcome == NotSent || a.Outcome == Broken && ev.Reason == "") {
+	if x != nil && ev.Endpoint == "" && (a.Outcome == NotSent || a.Outcome == Broken && ev.Reason == "") {
 		x.avoidUntil = s.now.Add(peerPause)
 	}
 	p := s.pool(r.Service)
--- a/internal/scheduler/path.go
+++ b/internal/scheduler/path.go
@@ -186,6 +186,9 @@
 		if e.path.blamedAt > paths.heardAt {
 			e.failureRate, e.failures, e.suspendedUntil = e.path.rateBefore, 0, 0
 		}
+		if e.doubtedAt > paths.heardAt {
+			e.doubtedAt = 0
+		}
 		e.doubtUnanswered(paths.heardAt)
 	}
 	s.count(CounterPaths, "lost")
