Scheduler: other instances are asked whether an endpoint has ended

Now it asks two instances that reach the service; they try a connection, and an end that they can vouch for counts for the requests that were there. Without a broken attempt and a refused connection no byte more is sent.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -45,11 +45,28 @@
 	for _, p := range r.Paths {
 		m.Paths = append(m.Paths, &gossippb.ServicePaths{Service: p.Service, Reached: uint32(p.Reached)})
 	}
+	m.EndQueries, m.Ended = encodeIncarnations(r.EndQueries), encodeIncarnations(r.Ended)
 	encodePermits(r, m)
 	encodeOrigins(r, m)
 	return proto.Marshal(m)
 }
 
+func encodeIncarnations(all []crash.Incarnation) []uint64 {
+	var out []uint64
+	for _, i := range all {
+		out = append(out, uint64(i))
+	}
+	return out
+}
+
+func decodeIncarnations(all []uint64) []crash.Incarnation {
+	var out []crash.Incarnation
+	for _, i := range all {
+		out = append(out, crash.Incarnation(i))
+	}
+	return out
+}
+
 func encodeCrash(c scheduler.Crash) *gossippb.Crash {
 	m := &gossippb.Crash{Fingerprint: c.Cause.ID, Service: c.Cause.Service}
 	if c.Acquitted {
@@ -115,6 +132,7 @@
 	for _, p := range m.GetPaths() {
 		r.Paths = append(r.Paths, scheduler.ServicePaths{Service: p.GetService(), Reached: int(p.GetReached())})
 	}
+	r.EndQueries, r.Ended = decodeIncarnations(m.GetEndQueries()), decodeIncarnations(m.GetEnded())
 	decodePermits(m, &r)
 	decodeOrigins(m, &r)
 	return r, nil
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -35,6 +35,8 @@
 		},
 		OriginQueries: []scheduler.OriginQuery{{Attempt: 14, Services: []string{"s", "t"}, Memory: 30 * time.Second}},
 		OriginAnswers: []scheduler.OriginAnswer{{Attempt: 15, Recorded: true, Software: 16}, {Attempt: 17, Alone: true}},
+		EndQueries:    []crash.Incarnation{18},
+		Ended:         []crash.Incarnation{19, 20},
 		Paths:         []scheduler.ServicePaths{{Service: "s", Reached: 3}},
 		Grants:        []scheduler.PermitGrant{{Endpoint: 8, Ask: 4, Number: 17, Permits: 2, Queued: 40 * time.Millisecond}},
 	}
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -75,6 +75,10 @@
 	refusedAt Instant
 	// zoneConfirmed is set once something was heard from its zone after that.
 	zoneConfirmed bool
+	// queriedAt is when other instances were last asked whether it has ended, askedBy
+	// holds the addresses of those that asked this one.
+	queriedAt Instant
+	askedBy   []string
 	// unanswered holds the recent attempts without a complete answer, the oldest
 	// first. probing is set while a ProbeEndpoint effect is in progress, which began at
 	// probedAt.
--- a/internal/scheduler/endpoint_end.go
+++ b/internal/scheduler/endpoint_end.go
@@ -59,6 +59,9 @@
 	// EndpointReplaced means that another process answers at its address or is
 	// listed there or under its ID.
 	EndpointReplaced EndEvidence = "replaced"
+	// EndReported means that another instance, asked about the endpoint, has found that
+	// it ended.
+	EndReported EndEvidence = "reported"
 	// EntryRemoved means that the platform removed its entry although it was not
 	// leaving.
 	EntryRemoved EndEvidence = "entry_removed"
@@ -128,6 +131,7 @@
 			s.connectionRefused(e)
 		}
 	case ProbeAccepted:
+		e.askedBy = nil
 		for k := range e.unanswered {
 			e.unanswered[k].accepted = true
 		}
@@ -151,6 +155,7 @@
 	s.withUnanswered[e.incarnation()] = e
 	if !s.confirmRefusal(e) && e.endedAt == 0 {
 		s.probeWitnesses(e)
+		s.queryEnd(e)
 	}
 }
 
@@ -198,7 +203,7 @@
 	e.probing, e.refusedAt, e.zoneConfirmed = false, 0, false
 	attributed := 0
 	for _, u := range e.unanswered {
-		if evidence == EntryRemoved && u.accepted || evidence != ConnectionRefused && u.inDoubt {
+		if evidence == EntryRemoved && u.accepted || u.inDoubt && evidence != ConnectionRefused && evidence != EndReported {
 			continue
 		}
 		s.recordCrash(e, u)
@@ -206,6 +211,9 @@
 	}
 	e.unanswered = nil
 	delete(s.withUnanswered, e.incarnation())
+	if evidence != EntryRemoved {
+		s.tellEnd(e)
+	}
 	if attributed > 0 || !known && evidence != EntryRemoved {
 		s.count(CounterEndpointEnds, string(evidence))
 		s.log("endpoint_ended", "endpoint", e.ID, "evidence", string(evidence), "unanswered", attributed)
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -248,6 +248,9 @@
 	OriginAnswers []OriginAnswer
 	// Paths lists the services of which the sender has lost paths to endpoints.
 	Paths []ServicePaths
+	// EndQueries ask whether processes have ended whose connections the sender can't
+	// judge, Ended lists processes that have as far as the sender knows.
+	EndQueries, Ended []crash.Incarnation
 	// Asks and Grants concern the permits for endpoints with rate limits.
 	Asks   []PermitAsk
 	Grants []PermitGrant
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -203,6 +203,8 @@
 	s.mergeCrashes(r.Crashes, r.Address)
 	s.mergeLimits(r.Limits, r.Address)
 	s.applyPermitMessages(r)
+	s.answerEndQueries(r.EndQueries, r.Address)
+	s.applyEnds(r.Ended)
 	s.mergeOrigins(r.Origins)
 	s.answerOriginQueries(r.OriginQueries, r.Address)
 	s.applyOriginAnswers(r.OriginAnswers, r.Address)
--- a/internal/scheduler/refusal_proof.go
+++ b/internal/scheduler/refusal_proof.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/balsamstair/balsamstair/internal/crash"
 )
 
 // witnessTime is how long after a refused connection one to a witness must begin: a
@@ -133,3 +135,80 @@
 		}
 	}
 }
+
+const (
+	// queriedInstances is the number of other instances that are asked whether an
+	// endpoint has ended, endQueryInterval the least time between two queries.
+	queriedInstances = 2
+	endQueryInterval = time.Second
+)
+
+// queryEnd asks other instances that reach the service whether an endpoint that refused
+// a connection has ended, since this one can't tell it from a cut of its own links.
+func (s *State) queryEnd(e *endpoint) {
+	if len(e.unanswered) == 0 || s.now.Sub(e.queriedAt) < endQueryInterval {
+		return
+	}
+	var to []string
+	for _, sameZone := range []bool{true, false} {
+		for _, a := range s.members.addresses() {
+			x := s.members.byAddress[a]
+			if _, lost := x.lostPaths[e.Service]; !lost && len(to) < queriedInstances && (x.zone == e.Zone) == sameZone && s.members.reachable(x, s.now) {
+				to = append(to, a)
+			}
+		}
+	}
+	if len(to) == 0 {
+		return
+	}
+	e.queriedAt = s.now
+	report := s.partialReport()
+	report.EndQueries = []crash.Incarnation{e.incarnation()}
+	s.emit(SendReport{To: to, Report: report})
+}
+
+// answerEndQueries finds out whether the endpoints have ended about which another
+// instance asks. Only ends are answered.
+func (s *State) answerEndQueries(queries []crash.Incarnation, from string) {
+	for _, query := range queries {
+		e := s.incarnations[query]
+		switch {
+		case e == nil:
+		case e.endedAt != 0:
+			s.sendEnd(e, []string{from})
+		default:
+			if !slices.Contains(e.askedBy, from) {
+				e.askedBy = append(e.askedBy, from)
+			}
+			s.withUnanswered[query] = e
+			if !e.probing {
+				e.probing, e.probedAt = true, s.now
+				s.emit(ProbeEndpoint{Endpoint: e.Endpoint})
+			}
+		}
+	}
+}
+
+// tellEnd answers those that asked about an endpoint.
+func (s *State) tellEnd(e *endpoint) {
+	if len(e.askedBy) > 0 {
+		s.sendEnd(e, e.askedBy)
+		e.askedBy = nil
+	}
+}
+
+func (s *State) sendEnd(e *endpoint, to []string) {
+	report := s.partialReport()
+	report.Ended = []crash.Incarnation{e.incarnation()}
+	s.emit(SendReport{To: slices.Clone(to), Report: report})
+}
+
+// applyEnds attributes the ends that others have found to the requests that were at
+// the endpoints.
+func (s *State) applyEnds(ended []crash.Incarnation) {
+	for _, incarnation := range ended {
+		if e := s.withUnanswered[incarnation]; e != nil && len(e.unanswered) > 0 {
+			s.endpointEnded(e, EndReported)
+		}
+	}
+}
--- a/internal/scheduler/simulation_crash_test.go
+++ b/internal/scheduler/simulation_crash_test.go
@@ -76,11 +76,13 @@
 	f.crashes.done[key] = done
 	r := route("r", 0)
 	r.MaxAttempts = attempts
-	f.step(i, Arrived{Request: Request{
+	request := Request{
 		ID: f.nextID, Name: fmt.Sprint(f.nextID), Version: 1, Route: r, Service: service, Fingerprint: fingerprint,
 		PromptTokens: 2000, Tokens: 2100,
 		CallerDeadline: f.now.Add(simCallerTimeout), Deadline: f.now.Add(simCallerTimeout),
-	}})
+	}
+	f.requests[key] = request
+	f.step(i, Arrived{Request: request})
 	f.after(simCallerTimeout, func() { f.crashes.finished(key.at, key.id) })
 }
 
@@ -209,7 +211,7 @@
 	}
 	delay, result, incarnation := 2*simDelay, ProbeRefused, i.incarnation
 	switch {
-	case f.links.mode(i, probe.Endpoint.Zone) == linkResets:
+	case f.links.mode(i, probe.Endpoint.Zone) == linkResets, f.links.mode(i, probe.Endpoint.Zone) == linkRefuses:
 	case !f.connected(i.zone, probe.Endpoint.Zone), f.links.mode(i, probe.Endpoint.Zone) == linkHangs:
 		delay, result = time.Second, ProbeUnknown
 	case f.listening(probe.Endpoint.Address):
--- a/internal/scheduler/simulation_links_test.go
+++ b/internal/scheduler/simulation_links_test.go
@@ -21,6 +21,9 @@
 	// linkHangs drops all packets, linkResets refuses and resets all connections.
 	linkHangs
 	linkResets
+	// linkRefuses refuses new connections, while open ones work: half of the dispatches
+	// find one.
+	linkRefuses
 )
 
 // simLinks is the part of a simulation in which instances lose their links to
@@ -63,6 +66,12 @@
 	return l.modes[i]
 }
 
+// open reports whether open connections between an instance and an engine work.
+func (l *simLinks) open(i *simInstance, zone string) bool {
+	m := l.mode(i, zone)
+	return m == linkWorks || m == linkRefuses
+}
+
 // cut puts the links of an instance in a mode for a time. Requests in progress get
 // no answer any more.
 func (f *simulation) cut(i *simInstance, mode linkMode, d time.Duration) {
@@ -72,7 +81,7 @@
 	f.links.modes[i] = mode
 	for _, e := range f.engines {
 		for _, job := range append(e.running, e.waiting...) {
-			if job.at == i && f.links.mode(i, e.zone) != linkWorks {
+			if m := f.links.mode(i, e.zone); job.at == i && (m == linkHangs || m == linkResets) {
 				f.links.lose(f, e, job)
 			}
 		}
@@ -95,6 +104,12 @@
 	switch l.mode(job.at, e.zone) {
 	case linkWorks:
 		return false
+	case linkRefuses:
+		if f.rand.IntN(2) == 0 {
+			return false
+		}
+		f.stepJob(job, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: NotSent, Refused: true}})
+		return true
 	case linkResets:
 		f.stepJob(job, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: NotSent, Refused: true}})
 		return true
@@ -186,6 +201,7 @@
 					t.Parallel()
 					f := newSimulation(size.instances, 4, size.engines, size.slots)
 					f.links = newSimLinks()
+					f.crashes = newSimCrashes(noCrash)
 					f.advance(3 * time.Second)
 					load := 0.4 * float64(size.engines*size.slots) / simServiceTime.Seconds()
 					f.runLoad(load, time.Second)
@@ -244,6 +260,33 @@
 	}
 }
 
+// Guards against a request that crashes endpoints and goes on doing so because the
+// instances that see them end have lost their own links, so that they can't tell:
+// drawn schedules of cuts and pauses.
+func TestCrashingRequestIsBoundedWhileLinksAreCut(t *testing.T) {
+	t.Parallel()
+	for _, size := range []struct{ instances, engines, slots, seeds int }{{6, 18, 10, 20}, {12, 18, 10, 10}, {84, 90, 6, 1}} {
+		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(size.seeds) {
+				f := newSimulation(size.instances, 4, size.engines, size.slots)
+				f.rand = rand.New(rand.NewPCG(seed, uint64(size.instances)))
+				f.links, f.crashes = newSimLinks(), newSimCrashes(666)
+				f.advance(3 * time.Second)
+				f.injectCuts(700*time.Millisecond, 12*time.Second)
+				f.repeatCrashingRequest(1+f.rand.IntN(2), 50*time.Millisecond+time.Duration(f.rand.Int64N(int64(1500*time.Millisecond))))
+				f.runLoad(0.1*float64(size.engines*size.slots)/simServiceTime.Seconds(), 18*time.Second)
+				late := f.crashes.sendsAfter(crashesAllowed, simContact)
+				if seed < 2 || late > 0 {
+					t.Logf("seed %d: %d engines ended, %d late sends", seed, len(f.crashes.crashedAt), late)
+				}
+				must.GreaterEq(t, crashesAllowed, len(f.crashes.crashedAt), must.Sprint(seed))
+				must.LessEq(t, lateSendsAllowed, late, must.Sprint(seed))
+			}
+		})
+	}
+}
+
 // injectCuts starts a cut about once an interval for d, and now and then pauses an
 // instance. Cuts overlap.
 func (f *simulation) injectCuts(interval, d time.Duration) {
@@ -252,11 +295,13 @@
 	}
 	length := 300*time.Millisecond + time.Duration(f.rand.Int64N(int64(4*time.Second)))
 	i := f.instances[f.rand.IntN(len(f.instances))]
-	switch f.rand.IntN(5) {
+	switch f.rand.IntN(7) {
 	case 0:
 		f.pause(i, length)
 	case 1, 2:
 		f.cut(i, linkHangs, length)
+	case 3, 4:
+		f.cut(i, linkRefuses, length)
 	default:
 		f.cut(i, linkResets, length)
 	}
@@ -278,7 +323,11 @@
 	oneAttempt := *request.Route
 	oneAttempt.MaxAttempts = 1
 	request.Route, request.Forwarding = &oneAttempt, &e.Forwarding
-	f.forwards[simRequest{peer, request.ID}] = key
+	to := simRequest{peer, request.ID}
+	f.forwards[to] = key
+	if f.crashes != nil && request.Fingerprint == f.crashes.crashing {
+		f.crashes.fingerprints[to] = request.Fingerprint
+	}
 	f.after(simDelay, func() { f.step(peer, Arrived{Request: request}) })
 }
 
@@ -310,7 +359,7 @@
 	switch mode := f.links.mode(i, e.Zone); {
 	case mode == linkHangs, !f.connected(i.zone, e.Zone):
 		delay, result = simConnectTimeout, ProbeUnknown
-	case mode == linkResets, !f.listening(e.Address):
+	case mode == linkResets, mode == linkRefuses, !f.listening(e.Address):
 		result = ProbeRefused
 	}
 	f.after(delay, func() {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -285,7 +285,7 @@
 // answerJob begins the answer to a job and ends it after its service time.
 func (f *simulation) answerJob(e *simEngine, job simJob) {
 	f.limits.answer(f, e, job)
-	if f.links.mode(job.at, e.zone) == linkWorks {
+	if f.links.open(job.at, e.zone) {
 		f.stepJob(job, AnswerStarted{ID: job.id})
 	}
 	f.parts.proceed(f, e, job)
@@ -294,7 +294,7 @@
 		if e.down {
 			return
 		}
-		reached := f.links.mode(job.at, e.zone) == linkWorks
+		reached := f.links.open(job.at, e.zone)
 		e.running = slices.DeleteFunc(e.running, func(other simJob) bool { return other == job })
 		f.crashes.finished(job.at, job.id)
 		f.streams.completed(job)
