--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -60,6 +60,10 @@
 	// one that can't be read; it then neither names nor lifts a limit.
 	Limit          scheduler.RateLimit
 	LimitMalformed bool
+	// Brittle and BrittleMalformed are the same for the rejections that the endpoint
+	// bears.
+	Brittle          scheduler.Brittleness
+	BrittleMalformed bool
 }
 
 // Dialect translates between HTTP headers and the types of this package.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -162,7 +162,7 @@
 		return x.sendFailure(err)
 	}
 	info := x.h.cfg.Dialect.ParseAnswer(answer.Status, answer.Header)
-	x.reportLimit(info, d)
+	x.reportStatements(info, d)
 	a := scheduler.Attempt{}
 	switch {
 	case info.Misdirected:
@@ -179,16 +179,22 @@
 	return a
 }
 
-// reportLimit tells the scheduler what the head of an answer says about the
-// endpoint's rate limit. An answer without one is only of interest while a
-// limit is in force.
-func (x *exchange) reportLimit(info AnswerInfo, d scheduler.Dispatch) {
-	switch {
-	case info.Misdirected:
-	case info.LimitMalformed:
+// reportStatements tells the scheduler what the head of an answer says about the
+// endpoint. An answer without a statement is only of interest while one is in force,
+// and one with a malformed statement neither makes nor ends one.
+func (x *exchange) reportStatements(info AnswerInfo, d scheduler.Dispatch) {
+	if info.Misdirected {
+		return
+	}
+	if info.LimitMalformed {
 		x.h.cfg.Counters.Add(string(scheduler.CounterLimitStatements), "malformed", 1)
-	case info.Limit.Named || d.Limited:
-		x.h.post(scheduler.AnswerReceived{ID: x.id, Limit: info.Limit})
+	}
+	if info.BrittleMalformed {
+		x.h.cfg.Counters.Add(string(scheduler.CounterBrittle), "malformed", 1)
+	}
+	if info.Limit.Named || info.Brittle.Named || d.Limited {
+		x.h.post(scheduler.AnswerReceived{ID: x.id, Limit: info.Limit, Brittle: info.Brittle,
+			LimitMalformed: info.LimitMalformed, BrittleMalformed: info.BrittleMalformed})
 	}
 }
 
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -22,8 +22,8 @@
 		Attempt int
 		// Waited is the time the request was queued before this dispatch.
 		Waited time.Duration
-		// Limited is set if the endpoint limits the rate of requests. AnswerReceived
-		// must follow once the head of the answer was received.
+		// Limited is set if the endpoint limits the rate of requests or is brittle.
+		// AnswerReceived must follow once the head of the answer was received.
 		Limited bool
 		// Software is that of the endpoint.
 		Software origin.Software
@@ -186,6 +186,9 @@
 	// CounterLimitStatements counts what endpoints said about their rate limits,
 	// by observed, reported or malformed.
 	CounterLimitStatements Counter = "routed_limit_statements_total"
+	// CounterBrittle counts statements that the endpoints of a service are brittle, or
+	// are no more, and rejections by such endpoints.
+	CounterBrittle Counter = "routed_brittle_total"
 	// CounterPermits counts permits for endpoints with rate limits by what became
 	// of them. CounterLimited counts requests for which such an endpoint had no
 	// permit: those sent to another endpoint, and those that were queued.
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -106,6 +106,14 @@
 	PerSecond float64
 }
 
+// Brittleness is what an answer says about the rejections that its endpoint bears.
+type Brittleness struct {
+	// Named is set if the endpoint falls over once it has rejected more than
+	// Rejections requests in a second.
+	Named      bool
+	Rejections int
+}
+
 // ProbeResult is the result of a ProbeEndpoint effect.
 type ProbeResult int
 
@@ -141,10 +149,15 @@
 	// that the request has not crashed its endpoint.
 	AnswerContinued struct{ ID RequestID }
 	// AnswerReceived reports the head of an endpoint's answer if it names a rate
-	// limit, or if the request was dispatched while one was in force.
+	// limit or says that the endpoint is brittle, or if the request was dispatched
+	// while either was in force.
 	AnswerReceived struct {
-		ID    RequestID
-		Limit RateLimit
+		ID      RequestID
+		Limit   RateLimit
+		Brittle Brittleness
+		// LimitMalformed and BrittleMalformed are set if the answer has a statement that
+		// can't be read, which neither makes nor ends one.
+		LimitMalformed, BrittleMalformed bool
 	}
 	// AttemptEnded reports that an attempt started by Dispatch has ended.
 	AttemptEnded struct {
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -65,13 +65,18 @@
 // limited reports whether requests to e need permits.
 func (e *endpoint) limited() bool { return e.limit != nil && e.limit.Named }
 
-// answerReceived records what the head of an answer says about the rate limit
-// of its endpoint.
-func (s *State) answerReceived(id RequestID, stated RateLimit) {
-	r := s.requests[id]
+// answerReceived records what the head of an answer says about its endpoint.
+func (s *State) answerReceived(ev AnswerReceived) {
+	r, stated := s.requests[ev.ID], ev.Limit
 	if r == nil || r.endpoint == nil || r.endpoint.removed {
 		return
 	}
+	if !ev.BrittleMalformed {
+		s.brittlenessStated(r, ev.Brittle)
+	}
+	if ev.LimitMalformed || !stated.Named && r.endpoint.limit == nil {
+		return
+	}
 	s.count(CounterLimitStatements, "observed")
 	e, n := r.endpoint, statement{RateLimit: stated, sent: r.dispatched, received: s.now}
 	if e.limit != nil && e.limit.RateLimit == stated && e.limit.supersededBy(n) {
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -29,6 +29,7 @@
 	// rank was dispatched out of order.
 	sinceLowestRank int
 	paths           servicePaths
+	brittle         brittleService
 }
 
 type latencyKey struct {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -42,6 +42,8 @@
 	parts *simParts
 	// streams is the part in which streams are resumed and taken up again.
 	streams *simStreams
+	// brittle is the part in which engines are brittle.
+	brittle *simBrittle
 	// requests are those of runLoad, forwards holds the senders of forwarded requests.
 	requests map[simRequest]Request
 	forwards map[simRequest]simRequest
@@ -266,6 +268,7 @@
 		f.crashes.unreachable(f, e, job)
 	case e.down:
 		f.stepJob(job, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: NotSent, Refused: true}})
+	case f.brittle.full(f, e, job):
 	case len(e.running) >= e.slots:
 		e.waiting = append(e.waiting, job)
 	default:
@@ -285,6 +288,9 @@
 // answerJob begins the answer to a job and ends it after its service time.
 func (f *simulation) answerJob(e *simEngine, job simJob) {
 	f.limits.answer(f, e, job)
+	if b := f.brittle.statement(); b.Named || f.brittle != nil && job.limited {
+		f.stepJob(job, AnswerReceived{ID: job.id, Brittle: b})
+	}
 	if f.links.open(job.at, e.zone) {
 		f.stepJob(job, AnswerStarted{ID: job.id})
 	}
@@ -298,6 +304,9 @@
 		e.running = slices.DeleteFunc(e.running, func(other simJob) bool { return other == job })
 		f.crashes.finished(job.at, job.id)
 		f.streams.completed(job)
+		if f.brittle != nil {
+			f.brittle.served++
+		}
 		if reached {
 			f.links.completed(job.at, job.id)
 			f.endForward(job.at, job.id, ForwardEnded{Endpoint: e.id, Attempt: Attempt{Outcome: Completed}})
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -172,7 +172,7 @@
 	case AnswerContinued:
 		s.answerContinued(ev.ID)
 	case AnswerReceived:
-		s.answerReceived(ev.ID, ev.Limit)
+		s.answerReceived(ev)
 	case AttemptEnded:
 		s.attemptEnded(ev.ID, ev.Attempt)
 	case ForwardEnded:
