--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -26,8 +26,10 @@
 	// pathsCut is set while the instance's connections to endpoints fail. Probes of
 	// paths are answered at once.
 	pathsCut bool
-	forwards []Forward
-	ready    bool
+	// onlyPathsTo limits the connections that work to a service, if it is set.
+	onlyPathsTo string
+	forwards    []Forward
+	ready       bool
 	// reportsSent is the number of reports of reportFrom.
 	reportsSent uint64
 	revision    int64
@@ -63,7 +65,7 @@
 			i.probes = append(i.probes, e)
 		case ProbePath:
 			result := ProbeAccepted
-			if i.pathsCut {
+			if i.pathsCut || i.onlyPathsTo != "" && i.onlyPathsTo != e.Endpoint.Service {
 				result = ProbeUnknown
 			}
 			i.step(PathProbed{Endpoint: e.Endpoint, Result: result})
