--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -64,6 +64,13 @@
 	// bears.
 	Brittle          scheduler.Brittleness
 	BrittleMalformed bool
+	// Leaving is set if the endpoint is about to leave. RetryAfter is the time for which
+	// one that did not run the request wants none from this instance. A malformed value
+	// says neither.
+	Leaving             bool
+	LeavingMalformed    bool
+	RetryAfter          time.Duration
+	RetryAfterMalformed bool
 }
 
 // Dialect translates between HTTP headers and the types of this package.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -170,6 +170,7 @@
 		x.discardBody(answer)
 	case info.NotRun:
 		a.Outcome = scheduler.NotRun
+		a.RetryAfter = info.RetryAfter
 		x.discardBody(answer)
 	case x.route.Kind == routing.Stream && answer.Status == http.StatusOK:
 		x.forwardStream(answer, sent, &a)
@@ -192,8 +193,14 @@
 	if info.BrittleMalformed {
 		x.h.cfg.Counters.Add(string(scheduler.CounterBrittle), "malformed", 1)
 	}
-	if info.Limit.Named || info.Brittle.Named || d.Limited {
-		x.h.post(scheduler.AnswerReceived{ID: x.id, Limit: info.Limit, Brittle: info.Brittle,
+	if info.LeavingMalformed {
+		x.h.cfg.Counters.Add(string(scheduler.CounterLeaving), "malformed", 1)
+	}
+	if info.RetryAfterMalformed {
+		x.h.cfg.Counters.Add(string(scheduler.CounterRests), "malformed", 1)
+	}
+	if info.Limit.Named || info.Brittle.Named || info.Leaving || d.Limited {
+		x.h.post(scheduler.AnswerReceived{ID: x.id, Limit: info.Limit, Brittle: info.Brittle, Leaving: info.Leaving,
 			LimitMalformed: info.LimitMalformed, BrittleMalformed: info.BrittleMalformed})
 	}
 }
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -189,6 +189,10 @@
 	// CounterBrittle counts statements that the endpoints of a service are brittle, or
 	// are no more, and rejections by such endpoints.
 	CounterBrittle Counter = "routed_brittle_total"
+	// CounterLeaving counts what endpoints said about leaving, by observed, reported or
+	// malformed, CounterRests the rests that they asked for.
+	CounterLeaving Counter = "routed_leaving_statements_total"
+	CounterRests   Counter = "routed_rests_total"
 	// CounterPermits counts permits for endpoints with rate limits by what became
 	// of them. CounterLimited counts requests for which such an endpoint had no
 	// permit: those sent to another endpoint, and those that were queued.
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -98,6 +98,8 @@
 	// failureRate is the moving average of failed attempts.
 	failureRate float64
 	path        endpointPath
+	// leavingSaid is set once an answer has said that the process is about to leave.
+	leavingSaid bool
 	brittle     brittleEndpoint
 	// limit is the rate limit that the endpoint named, or nil if it named none.
 	limit *endpointLimit
@@ -266,6 +268,9 @@
 			s.brittleRejected(p, e)
 		}
 		e.pausedUntil = s.now.Add(rejectionPause)
+		if a.RetryAfter > 0 {
+			s.restAsked(e, a.RetryAfter)
+		}
 		return
 	case Failed:
 		failed = 1
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -96,6 +96,9 @@
 	Inconclusive, ErrorAnswer bool
 	// Refused reports whether the endpoint's address refused the connection.
 	Refused bool
+	// RetryAfter is the time for which an endpoint that did not run the request wants
+	// none from this instance, or zero.
+	RetryAfter time.Duration
 }
 
 // RateLimit is what an answer says about the number of requests per second that
@@ -155,6 +158,8 @@
 		ID      RequestID
 		Limit   RateLimit
 		Brittle Brittleness
+		// Leaving is set if the answer says that the endpoint is about to leave.
+		Leaving bool
 		// LimitMalformed and BrittleMalformed are set if the answer has a statement that
 		// can't be read, which neither makes nor ends one.
 		LimitMalformed, BrittleMalformed bool
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -71,6 +71,9 @@
 	if r == nil || r.endpoint == nil || r.endpoint.removed {
 		return
 	}
+	if ev.Leaving {
+		s.leavingStated(r.endpoint)
+	}
 	if !ev.BrittleMalformed {
 		s.brittlenessStated(r, ev.Brittle)
 	}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -44,6 +44,8 @@
 	streams *simStreams
 	// brittle is the part in which engines are brittle.
 	brittle *simBrittle
+	// rests is the part in which engines ask for rests or leave.
+	rests *simRests
 	// requests are those of runLoad, forwards holds the senders of forwarded requests.
 	requests map[simRequest]Request
 	forwards map[simRequest]simRequest
@@ -268,7 +270,7 @@
 		f.crashes.unreachable(f, e, job)
 	case e.down:
 		f.stepJob(job, AttemptEnded{ID: job.id, Attempt: Attempt{Outcome: NotSent, Refused: true}})
-	case f.brittle.full(f, e, job):
+	case f.brittle.full(f, e, job), f.rests.arrived(f, e, job):
 	case len(e.running) >= e.slots:
 		e.waiting = append(e.waiting, job)
 	default:
@@ -288,6 +290,7 @@
 // answerJob begins the answer to a job and ends it after its service time.
 func (f *simulation) answerJob(e *simEngine, job simJob) {
 	f.limits.answer(f, e, job)
+	f.rests.answered(f, e, job)
 	if b := f.brittle.statement(); b.Named || f.brittle != nil && job.limited {
 		f.stepJob(job, AnswerReceived{ID: job.id, Brittle: b})
 	}
