Leaving: what a process says in its answers counts at all instances

Now the process gets no new work once any instance has heard it, that instance tells all others at once, reports repeat it, and one that joins is told.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -45,6 +45,7 @@
 	for _, p := range r.Paths {
 		m.Paths = append(m.Paths, &gossippb.ServicePaths{Service: p.Service, Reached: uint32(p.Reached)})
 	}
+	m.LeavingEndpoints = encodeIncarnations(r.LeavingEndpoints)
 	m.EndQueries, m.Ended = encodeIncarnations(r.EndQueries), encodeIncarnations(r.Ended)
 	for _, b := range r.Brittle {
 		m.Brittle = append(m.Brittle, encodeBrittle(b))
@@ -135,6 +136,7 @@
 	for _, p := range m.GetPaths() {
 		r.Paths = append(r.Paths, scheduler.ServicePaths{Service: p.GetService(), Reached: int(p.GetReached())})
 	}
+	r.LeavingEndpoints = decodeIncarnations(m.GetLeavingEndpoints())
 	r.EndQueries, r.Ended = decodeIncarnations(m.GetEndQueries()), decodeIncarnations(m.GetEnded())
 	for _, b := range m.GetBrittle() {
 		r.Brittle = append(r.Brittle, decodeBrittle(b))
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -39,10 +39,11 @@
 			{Service: "s", Brittleness: scheduler.Brittleness{Named: true, Rejections: 3}, SentAge: 30 * time.Millisecond, ReceivedAge: 20 * time.Millisecond, Room: 2, RoomAge: time.Second},
 			{Service: "t", Brittleness: scheduler.Brittleness{Named: true}}, {Service: "u", SentAge: time.Second},
 		},
-		EndQueries: []crash.Incarnation{18},
-		Ended:      []crash.Incarnation{19, 20},
-		Paths:      []scheduler.ServicePaths{{Service: "s", Reached: 3}},
-		Grants:     []scheduler.PermitGrant{{Endpoint: 8, Ask: 4, Number: 17, Permits: 2, Queued: 40 * time.Millisecond}},
+		LeavingEndpoints: []crash.Incarnation{21},
+		EndQueries:       []crash.Incarnation{18},
+		Ended:            []crash.Incarnation{19, 20},
+		Paths:            []scheduler.ServicePaths{{Service: "s", Reached: 3}},
+		Grants:           []scheduler.PermitGrant{{Endpoint: 8, Ask: 4, Number: 17, Permits: 2, Queued: 40 * time.Millisecond}},
 	}
 }
 
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -98,8 +98,6 @@
 	// failureRate is the moving average of failed attempts.
 	failureRate float64
 	path        endpointPath
-	// leavingSaid is set once an answer has said that the process is about to leave.
-	leavingSaid bool
 	brittle     brittleEndpoint
 	// limit is the rate limit that the endpoint named, or nil if it named none.
 	limit *endpointLimit
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -271,6 +271,8 @@
 	EndQueries, Ended []crash.Incarnation
 	// Brittle lists the services whose endpoints are brittle, or have ceased to be.
 	Brittle []BrittleStatement
+	// LeavingEndpoints lists processes that have said that they are about to leave.
+	LeavingEndpoints []crash.Incarnation
 	// Asks and Grants concern the permits for endpoints with rate limits.
 	Asks   []PermitAsk
 	Grants []PermitGrant
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -112,6 +112,8 @@
 		Limits:        s.limitReport(),
 		Paths:         s.pathReport(),
 		Brittle:       s.brittleReport(),
+
+		LeavingEndpoints: s.leavingReport(),
 	}
 	if s.table != nil {
 		report.Version = s.table.Version()
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -122,6 +122,12 @@
 	startedBehind     bool
 	// asksSent and grantsSent number the asks and grants of this instance.
 	asksSent, grantsSent uint64
+	// saidLeaving holds the processes that have said that they are about to leave, with
+	// when they were last listed; leavingOrder holds them in the order in which this
+	// instance learned of it, leavingCursor is the index of the next one to be reported.
+	saidLeaving   map[crash.Incarnation]Instant
+	leavingOrder  []crash.Incarnation
+	leavingCursor int
 	// forwarded is the number of requests of other instances in progress here.
 	forwarded int
 	leaving   bool
@@ -149,6 +155,7 @@
 		history:        origin.NewHistory(),
 		zonesReached:   map[string]Instant{},
 		withUnanswered: map[crash.Incarnation]*endpoint{},
+		saidLeaving:    map[crash.Incarnation]Instant{},
 		removedLimits:  map[crash.Incarnation]removedLimit{},
 		gone:           map[crash.Incarnation]goneEndpoint{},
 		held:           map[string]heldEntry{},
@@ -214,6 +221,7 @@
 	s.expireLapsedEndpoints()
 	s.releaseHeldEntries()
 	s.expireReportedVersion()
+	s.expireLeaving()
 	s.expireCrashes()
 	for _, p := range s.poolOrder {
 		s.reviewPaths(p)
