--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -128,6 +128,8 @@
 	// LimitReached means that all endpoints limit the rate of requests and that
 	// more urgent requests use it up.
 	LimitReached Reason = "limit_reached"
+	// EndpointsResting means that all endpoints have asked this instance for a rest.
+	EndpointsResting Reason = "endpoints_resting"
 	// CrashSuspect means that endpoints have ended while they ran equal requests, or
 	// requests with the same part of their prompts.
 	CrashSuspect Reason = "crash_suspect"
@@ -153,7 +155,7 @@
 // Reasons returns the complete list of reasons.
 func Reasons() []Reason {
 	return []Reason{ConfigUnknown, ConfigStale, QuotaExceeded, NoEndpoint, QueueDelay, EndpointsFull,
-		LimitReached, CrashSuspect, StreamOriginUnknown, StreamVersionGone, PeerBusy, AttemptsUsed, RetryBudgetUsed, NotRepeatable, DeadlinePassed}
+		LimitReached, EndpointsResting, CrashSuspect, StreamOriginUnknown, StreamVersionGone, PeerBusy, AttemptsUsed, RetryBudgetUsed, NotRepeatable, DeadlinePassed}
 }
 
 // Counter is the name of a counter.
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -98,7 +98,9 @@
 	// failureRate is the moving average of failed attempts.
 	failureRate float64
 	path        endpointPath
-	brittle     brittleEndpoint
+	// restUntil is when the rest ends that the endpoint asked this instance for.
+	restUntil Instant
+	brittle   brittleEndpoint
 	// limit is the rate limit that the endpoint named, or nil if it named none.
 	limit *endpointLimit
 }
