--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -197,6 +197,9 @@
 	case StopRequested:
 		s.leaving = true
 		s.assignPermitOwners()
+		for _, p := range s.poolOrder {
+			s.assignBrittleOwners(p)
+		}
 		s.sendCrashNotice()
 		s.sendLimitNotice()
 		s.sendReports(s.members.addresses())
