--- a/internal/scheduler/brittle_test.go
+++ b/internal/scheduler/brittle_test.go
@@ -88,3 +88,64 @@
 	})
 	must.True(t, i.s.pool(service).brittle.Named)
 }
+
+// Guards against a request that travels from instance to instance: one that was
+// forwarded waits for the endpoints of this one.
+func TestForwardedRequestStaysAtTheOwner(t *testing.T) {
+	i := newServingInstance(t, 6, 4)
+	i.reportFor(nil)
+	i.advanceInContact(time.Second)
+	i.brittle(1)
+	i.advanceInContact(time.Second)
+	i.forwards = nil
+	for range 12 {
+		i.arrive(route("r", 0), func(q *Request) { q.Forwarding = &Forwarding{} })
+	}
+	must.SliceEmpty(t, i.forwards)
+	i.arrive(route("r", 0), nil)
+	must.Len(t, 1, i.forwards)
+}
+
+// Guards against instances that send to brittle endpoints until the next report, and
+// against one that has missed the notice.
+func TestBrittlenessIsToldAtOnceAndRepeated(t *testing.T) {
+	i := newServingInstance(t, 2, 4)
+	i.reportFor(nil)
+	i.advanceInContact(time.Second)
+	for _, partial := range []bool{true, false} {
+		i.reports = nil
+		if partial {
+			i.brittle(2)
+		} else {
+			i.advanceInContact(200 * time.Millisecond)
+		}
+		told := false
+		for _, r := range i.reports {
+			told = told || r.Report.Partial == partial && len(r.Report.Brittle) == 1
+		}
+		must.True(t, told)
+	}
+	other := newServingInstance(t, 2, 4)
+	other.reportFor(func(r *Report) {
+		r.Brittle = []BrittleStatement{{Service: service, Brittleness: Brittleness{Named: true, Rejections: 2}}}
+	})
+	must.True(t, other.s.pool(service).brittle.Named)
+}
+
+// Guards against room that is never used again after one rejection.
+func TestRoomOfABrittleEndpointGrows(t *testing.T) {
+	i := newServingInstance(t, 1, 4)
+	i.brittle(4)
+	e, p := i.s.endpoints["e0"], i.s.pool(service)
+	id := i.arrive(route("r", 0), func(q *Request) { q.Route.MaxAttempts = 1 })
+	i.end(id, Attempt{Outcome: NotRun})
+	must.Eq(t, 1, e.brittle.room)
+	i.advance(rejectionWindow)
+	first := i.arrive(route("r", 0), nil)
+	must.True(t, i.running(first))
+	i.advance(acceptTime)
+	must.False(t, i.running(i.arrive(route("r", 0), nil)))
+	i.advance(roomGrowth(p.brittle.Rejections))
+	must.True(t, i.running(i.arrive(route("r", 0), nil)))
+	must.Eq(t, 2, e.brittle.room)
+}
--- a/internal/scheduler/path_test.go
+++ b/internal/scheduler/path_test.go
@@ -291,3 +291,16 @@
 	i.step(ForwardEnded{ID: id, Attempt: Attempt{Outcome: NotRun}, Reason: PeerBusy})
 	must.MapNotContainsKey(t, i.refused, id)
 }
+
+// Guards against a loss of paths that is found out a second late, since they were
+// checked just before.
+func TestFailuresAfterACheckLoseThePaths(t *testing.T) {
+	i := newServingInstance(t, 3, 4)
+	i.reportFor(nil)
+	i.advanceInContact(time.Second)
+	i.end(i.arrive(route("r", 0), func(q *Request) { q.Route.MaxAttempts = 1 }), Attempt{Outcome: Broken})
+	must.Eq(t, i.now, i.s.pool(service).paths.checkedAt)
+	i.advanceInContact(200 * time.Millisecond)
+	i.loseAllPaths()
+	must.True(t, i.s.pool(service).paths.lost)
+}
