--- a/internal/scheduler/path_test.go
+++ b/internal/scheduler/path_test.go
@@ -301,6 +301,9 @@
 	i.end(i.arrive(route("r", 0), func(q *Request) { q.Route.MaxAttempts = 1 }), Attempt{Outcome: Broken})
 	must.Eq(t, i.now, i.s.pool(service).paths.checkedAt)
 	i.advanceInContact(200 * time.Millisecond)
-	i.loseAllPaths()
+	i.pathsCut = true
+	for id := i.arrive(route("r", 0), nil); i.running(id); {
+		i.end(id, Attempt{Outcome: NotSent})
+	}
 	must.True(t, i.s.pool(service).paths.lost)
 }
