Brittle endpoints: an instance that starts waits before it takes the place of an owner

An instance that was restarted became the owner of some at once, in the second in which the ones before it had caused rejections too. It waits now unless the endpoint has answered it; the test failed before. An answer's head with a statement counts as an answer of its endpoint.

--- a/internal/scheduler/brittle.go
+++ b/internal/scheduler/brittle.go
@@ -138,7 +138,9 @@
 		if owner == e.brittle.owner {
 			continue
 		}
-		if owner == s.cfg.Address && e.brittle.owner != "" {
+		// An instance that has just started may take the place of one, too.
+		starting := s.members.startingUp(s.now) && e.answeredSent == 0
+		if owner == s.cfg.Address && (e.brittle.owner != "" || starting) {
 			e.brittle.ownedAt = s.now
 		}
 		e.brittle.owner = owner
--- a/internal/scheduler/brittle_test.go
+++ b/internal/scheduler/brittle_test.go
@@ -149,3 +149,25 @@
 	must.True(t, i.running(i.arrive(route("r", 0), nil)))
 	must.Eq(t, 2, e.brittle.room)
 }
+
+// Guards against an instance that has just started, takes the place of another one and
+// adds its rejections to those of the last second.
+func TestStartingOwnerOfABrittleEndpointWaits(t *testing.T) {
+	i := newServingInstance(t, 6, 4)
+	i.reportFor(func(r *Report) {
+		r.Brittle = []BrittleStatement{{Service: service, Brittleness: Brittleness{Named: true, Rejections: 2}, SentAge: 100 * time.Millisecond, ReceivedAge: 90 * time.Millisecond}}
+	})
+	i.advanceInContact(600 * time.Millisecond)
+	p, own := i.s.pool(service), 0
+	for _, e := range i.s.endpoints {
+		if i.s.ownsBrittle(e) {
+			own++
+			must.False(t, i.s.brittleRoom(p, e))
+		}
+	}
+	must.Positive(t, own)
+	i.advanceInContact(rejectionWindow)
+	for _, e := range i.s.endpoints {
+		must.Eq(t, i.s.ownsBrittle(e), i.s.brittleRoom(p, e))
+	}
+}
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -71,6 +71,7 @@
 	if r == nil || r.endpoint == nil || r.endpoint.removed {
 		return
 	}
+	s.endpointAnswered(r.endpoint, r.dispatched)
 	if ev.Leaving {
 		s.leavingStated(r.endpoint)
 	}
