Leaving: processes that have left are forgotten

Instances told each other of them, and each report renewed what the other one knew, so that a process that had left long ago stayed in all reports. Nobody tells of a process 30 s after it was last listed, and all forget it 30 s later. Found by reading the change; the test failed before.

--- a/internal/scheduler/leaving.go
+++ b/internal/scheduler/leaving.go
@@ -28,9 +28,9 @@
 
 // sendLeaving tells an instance that has joined all that is known.
 func (s *State) sendLeaving(to string) {
-	if len(s.leavingOrder) > 0 {
+	if told := s.leavingToTell(); len(told) > 0 {
 		report := s.partialReport()
-		report.LeavingEndpoints = slices.Clone(firstN(s.leavingOrder, maxNoticedLeaving))
+		report.LeavingEndpoints = firstN(told, maxNoticedLeaving)
 		s.emit(SendReport{To: []string{to}, Report: report})
 	}
 }
@@ -39,7 +39,6 @@
 // reports whether that is new.
 func (s *State) leavingKnown(process crash.Incarnation, from string) bool {
 	if _, known := s.saidLeaving[process]; known {
-		s.saidLeaving[process] = s.now
 		return false
 	}
 	s.saidLeaving[process] = s.now
@@ -71,16 +70,29 @@
 
 // leavingReport returns processes that have said that they leave, others at each call.
 func (s *State) leavingReport() []crash.Incarnation {
-	n := len(s.leavingOrder)
+	told := s.leavingToTell()
+	n := len(told)
 	if n <= maxReportedLeaving {
-		return slices.Clone(s.leavingOrder)
+		return told
 	}
 	s.leavingCursor = (s.leavingCursor + maxReportedLeaving) % n
-	return slices.Concat(s.leavingOrder[s.leavingCursor:], s.leavingOrder[:s.leavingCursor])[:maxReportedLeaving]
+	return slices.Concat(told[s.leavingCursor:], told[:s.leavingCursor])[:maxReportedLeaving]
 }
 
-// expireLeaving forgets processes that have not been listed for goneRetention: a copy
-// of the platform's data may list them again.
+// leavingToTell returns the processes that were listed within goneRetention: a copy of
+// the platform's data may list them again.
+func (s *State) leavingToTell() []crash.Incarnation {
+	var out []crash.Incarnation
+	for _, process := range s.leavingOrder {
+		if s.now.Sub(s.saidLeaving[process]) <= goneRetention {
+			out = append(out, process)
+		}
+	}
+	return out
+}
+
+// expireLeaving forgets processes some time after nobody tells of them any more:
+// instances would otherwise tell each other for ever.
 func (s *State) expireLeaving() {
 	for _, process := range s.leavingOrder {
 		if s.incarnations[process] != nil {
@@ -88,7 +100,7 @@
 		}
 	}
 	s.leavingOrder = slices.DeleteFunc(s.leavingOrder, func(process crash.Incarnation) bool {
-		expired := s.now.Sub(s.saidLeaving[process]) > goneRetention
+		expired := s.now.Sub(s.saidLeaving[process]) > 2*goneRetention
 		if expired {
 			delete(s.saidLeaving, process)
 		}
--- a/internal/scheduler/leaving_test.go
+++ b/internal/scheduler/leaving_test.go
@@ -50,3 +50,23 @@
 	must.True(t, i.s.endpoints["e1"].Leaving)
 	must.False(t, i.s.endpoints["e0"].Leaving)
 }
+
+// Guards against instances that tell each other of a process for ever that has left long
+// ago, so that reports only grow.
+func TestLeavingIsForgotten(t *testing.T) {
+	i := newServingInstance(t, 2, 4)
+	process := crash.IncarnationOf("e0", 1)
+	told := func(r *Report) { r.LeavingEndpoints = []crash.Incarnation{process} }
+	i.reportFor(told)
+	i.applyChanges(directory.Change{EndpointID: "e0"})
+	for range 29 {
+		i.advance(time.Second)
+		i.reportFor(told)
+	}
+	must.Eq(t, []crash.Incarnation{process}, i.s.leavingReport())
+	i.advance(2 * time.Second)
+	i.reportFor(told)
+	must.SliceEmpty(t, i.s.leavingReport())
+	i.advance(goneRetention)
+	must.MapEmpty(t, i.s.saidLeaving)
+}
