--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -64,6 +64,8 @@
 	// is set once its entry was removed although it was not leaving.
 	endedAt      Instant
 	entryRemoved bool
+	// dispatchedAt is when this instance last sent a request there, or zero.
+	dispatchedAt Instant
 	// answeredSent is when the latest request that the endpoint answered was sent.
 	answeredSent Instant
 	// software identifies the version that the entry names. doubtedAt is when there
@@ -172,7 +174,8 @@
 	}
 	if changed {
 		s.log("endpoint_listed", "endpoint", entry.ID, "service", entry.Service, "address", entry.Address,
-			"leaving", entry.Leaving, "started", entry.Started, "version", entry.Version, "revision", revision)
+			"leaving", entry.Leaving, "started", entry.Started, "version", entry.Version, "revision", revision,
+			"from", s.reading.source, "read_age_ms", s.readAge().Milliseconds())
 	}
 }
 
@@ -186,12 +189,14 @@
 	if s.platform.reconnectedAt != 0 && s.now.Sub(s.platform.reconnectedAt) < lapseGrace && !e.Leaving {
 		if e.lapsedAt == 0 {
 			e.lapsedAt = s.platform.reconnectedAt
-			s.log("endpoint_lapsed", "endpoint", id, "revision", revision)
+			s.log("endpoint_lapsed", "endpoint", id, "revision", revision,
+				"from", s.reading.source, "read_age_ms", s.readAge().Milliseconds())
 		}
 		return
 	}
 	s.removeEndpoint(e)
-	s.log("endpoint_gone", "endpoint", id, "service", e.Service, "revision", revision)
+	s.log("endpoint_gone", "endpoint", id, "service", e.Service, "revision", revision,
+		"from", s.reading.source, "read_age_ms", s.readAge().Milliseconds(), "last_dispatch_ms", s.sinceDispatch(e))
 	if !e.Leaving {
 		s.entryRemoved(e)
 	}
@@ -213,7 +218,8 @@
 	for id, e := range s.endpoints {
 		if e.lapsedAt != 0 && s.now.Sub(e.lapsedAt) >= lapseGrace {
 			s.removeEndpoint(e)
-			s.log("endpoint_gone", "endpoint", id, "service", e.Service, "reason", "lapsed")
+			s.log("endpoint_gone", "endpoint", id, "service", e.Service, "reason", "lapsed",
+				"last_dispatch_ms", s.sinceDispatch(e))
 			s.entryRemoved(e)
 		}
 	}
@@ -232,6 +238,15 @@
 	}
 }
 
+// sinceDispatch returns the milliseconds since the last request of this instance to an
+// endpoint, or -1 if there was none.
+func (s *State) sinceDispatch(e *endpoint) int64 {
+	if e.dispatchedAt == 0 {
+		return -1
+	}
+	return s.now.Sub(e.dispatchedAt).Milliseconds()
+}
+
 // growWindow allows one more request of this instance at e.
 func (e *endpoint) growWindow() { e.window = min(e.window+1, e.slots+endpointQueueDepth) }
 
--- a/internal/scheduler/leaving.go
+++ b/internal/scheduler/leaving.go
@@ -48,7 +48,7 @@
 	if e == nil {
 		return true
 	}
-	s.log("endpoint_leaving", "endpoint", e.ID, "from", from, "listed_leaving", e.Leaving)
+	s.log("endpoint_leaving", "endpoint", e.ID, "from", from, "listed_leaving", e.Leaving, "last_dispatch_ms", s.sinceDispatch(e))
 	e.Leaving = true
 	return true
 }
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/directory"
@@ -32,6 +33,19 @@
 	reconnectedAt Instant
 }
 
+// directoryReading is the read that is being applied: where it is from, the platform or
+// the address of an instance, and as of when it is current.
+type directoryReading struct {
+	source string
+	at     Instant
+}
+
+// platformSource is the source of a read from the platform itself, in the log.
+const platformSource = "platform"
+
+// readAge returns the age of the data that is being applied.
+func (s *State) readAge() time.Duration { return s.now.Sub(s.reading.at) }
+
 // configAge returns the time since the configuration was last confirmed as the
 // newest, or since the start if it never was.
 func (s *State) configAge() time.Duration {
@@ -80,6 +94,7 @@
 	if u.NewHistory {
 		s.historyReplaced(u)
 	}
+	s.reading = directoryReading{cmp.Or(u.From, platformSource), readAt}
 	s.applyBatch(u)
 	s.emit(ConfigConfirmed{At: s.platform.confirmedAt})
 }
@@ -159,5 +174,6 @@
 	}
 	s.emit(ConfigAdopted{Table: s.table})
 	s.log("config_adopted", "version", c.Version, "before", previous, "revision", revision,
-		"routes", len(c.Routes), "organisations", len(c.Organisations))
+		"routes", len(c.Routes), "organisations", len(c.Organisations),
+		"from", s.reading.source, "read_age_ms", s.readAge().Milliseconds())
 }
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -169,7 +169,7 @@
 func (s *State) dispatch(r *request, e *endpoint) {
 	r.endpoint = e
 	r.tried = append(r.tried, e.ID)
-	r.dispatched = s.now
+	r.dispatched, e.dispatchedAt = s.now, s.now
 	e.ownRunning++
 	e.ownPrefill += r.PromptTokens
 	r.prefilling = true
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -52,6 +52,7 @@
 
 	table     *routing.Table
 	platform  platformStatus
+	reading   directoryReading
 	endpoints map[string]*endpoint
 	pools     map[string]*pool
 	// poolOrder holds the pools in order of first use, so that equal events
