--- /dev/null
+++ b/internal/directory/propagation_test.go
@@ -0,0 +1,311 @@
+package directory
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/routing"
+	"github.com/cespare/xxhash/v2"
+	"github.com/shoenig/test/must"
+)
+
+// propagationBound is the time within which a change reaches an instance that lacks
+// two of its ways to the platform: the smallest bound on the use of a draining endpoint
+// (2 s), less the time to connect to one (0.4 s) and a margin.
+const propagationBound = 1500 * time.Millisecond
+
+// fleet is a set of instances of one zone that read the platform, two of them for the
+// others. It runs in a synctest bubble.
+type fleet struct {
+	start     time.Time
+	instances []*fleetInstance
+	// published is the changes in order of their revisions, which begin with 1; changed
+	// is closed and replaced when one is added.
+	published []Change
+	changed   chan struct{}
+}
+
+// fleetInstance is one instance and its links.
+type fleetInstance struct {
+	fleet   *fleet
+	address string
+	plan    ReadPlan
+	replica *Replica
+	// frozen instances answer nobody; instances without the platform get no answers
+	// from it. platformDelay is how long its answers take.
+	frozen, withoutPlatform bool
+	platformDelay           time.Duration
+	// link is held while a part of an answer is being sent to or from the instance,
+	// bytesPerSecond is its bandwidth; zero means unlimited.
+	link           chan struct{}
+	bytesPerSecond int
+	// learned is when the change of the test was received, configured when its
+	// configuration was.
+	learned, configured time.Time
+}
+
+// transfer occupies the link for the time of an answer. Answers share the link.
+func (i *fleetInstance) transfer(ctx context.Context, bytes int) {
+	const part = 16 << 10
+	for ; i.bytesPerSecond > 0 && bytes > 0 && ctx.Err() == nil; bytes -= part {
+		i.link <- struct{}{}
+		time.Sleep(time.Duration(min(bytes, part)) * time.Second / time.Duration(i.bytesPerSecond))
+		<-i.link
+	}
+}
+
+func fleetAddress(n int) string { return fmt.Sprintf("10.0.0.%d:1", n) }
+
+// newFleet starts instances that read through the first two of them. The backups of
+// each are other instances.
+func newFleet(ctx context.Context, size int) *fleet {
+	f := &fleet{start: time.Now(), changed: make(chan struct{})}
+	for n := range size {
+		i := &fleetInstance{fleet: f, address: fleetAddress(n), replica: NewReplica(), link: make(chan struct{}, 1)}
+		i.plan.IsRelay = n < 2
+		if !i.plan.IsRelay {
+			i.plan.Relay = fleetAddress(n % 2)
+		}
+		i.plan.Backups = [2]string{fleetAddress((n + size/2) % size), fleetAddress((n + 1) % size)}
+		f.instances = append(f.instances, i)
+	}
+	f.publish(putChange("e", 0))
+	for n, i := range f.instances {
+		w := NewWatcher(WatcherConfig{
+			Source: i, Plan: func() ReadPlan { return i.plan }, RelayClient: &http.Client{Transport: i}, Now: f.now,
+			Updated: i.updated,
+		})
+		go func() {
+			// The polls of the instances are spread over the time of one.
+			time.Sleep(time.Duration(n) * 97 * time.Millisecond % time.Second)
+			_ = w.Serve(ctx)
+		}()
+	}
+	return f
+}
+
+func (f *fleet) now() int64 { return int64(time.Since(f.start)) }
+
+func (f *fleet) publish(c Change) {
+	c.Revision = int64(len(f.published) + 1)
+	f.published = append(f.published, c)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (i *fleetInstance) updated(u Update) {
+	i.replica.Apply(u)
+	for _, c := range u.Batch.Changes {
+		if c.Config != nil {
+			i.configured = time.Now()
+		}
+		if c.Endpoint != nil && c.Endpoint.Leaving && i.learned.IsZero() {
+			i.learned = time.Now()
+		}
+	}
+}
+
+// List implements Source for the platform as this instance reaches it.
+func (i *fleetInstance) List(ctx context.Context) (Batch, error) { return i.Watch(ctx, Position{}, 0) }
+
+// Watch implements Source.
+func (i *fleetInstance) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for expired := false; ; {
+		if i.withoutPlatform || i.frozen {
+			<-ctx.Done()
+			return Batch{}, ctx.Err()
+		}
+		f := i.fleet
+		if revision := int64(len(f.published)); revision > after.Revision || expired || wait == 0 {
+			time.Sleep(i.platformDelay)
+			if i.withoutPlatform {
+				continue
+			}
+			changes := f.published[after.Revision:]
+			for _, c := range changes {
+				if c.Config != nil {
+					i.transfer(ctx, largeConfigBytes)
+				}
+			}
+			return Batch{Revision: revision, Changes: changes}, ctx.Err()
+		}
+		select {
+		case <-f.changed:
+		case <-timer.C:
+			expired = true
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		}
+	}
+}
+
+// RoundTrip implements http.RoundTripper for calls to other instances.
+func (i *fleetInstance) RoundTrip(r *http.Request) (*http.Response, error) {
+	var to *fleetInstance
+	for _, other := range i.fleet.instances {
+		if other.address == r.URL.Host {
+			to = other
+		}
+	}
+	// The calls take time, as on a network.
+	time.Sleep(time.Millisecond)
+	recorder := httptest.NewRecorder()
+	if !to.frozen {
+		RelayHandler(to.replica, i.fleet.now).ServeHTTP(recorder, r)
+	}
+	if to.frozen || i.frozen {
+		<-r.Context().Done()
+	}
+	to.transfer(r.Context(), recorder.Body.Len())
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	response := recorder.Result()
+	response.Body = io.NopCloser(bytes.NewReader(recorder.Body.Bytes()))
+	return response, nil
+}
+
+// Guards against an instance that learns of a change late, since it begins to read from
+// its next source only when a read from the one before has timed out: the relays or the
+// platform are lost just before the change, at various points of the polls.
+func TestChangeArrivesWhileSourcesHang(t *testing.T) {
+	const size = 20
+	without := func(n int) func(f *fleet) {
+		return func(f *fleet) {
+			for _, i := range f.instances[:n] {
+				i.withoutPlatform = true
+			}
+		}
+	}
+	for name, c := range map[string]struct {
+		lose func(f *fleet)
+		// reached is the number of instances that must learn of the change.
+		reached int
+	}{
+		"nothing":                       {func(*fleet) {}, size},
+		"one relay is frozen":           {func(f *fleet) { f.instances[0].frozen = true }, size - 1},
+		"both relays are frozen":        {func(f *fleet) { f.instances[0].frozen, f.instances[1].frozen = true, true }, size - 2},
+		"one relay loses the platform":  {without(1), size},
+		"the relays lose the platform":  {without(2), size},
+		"a follower loses the platform": {func(f *fleet) { f.instances[7].withoutPlatform = true }, size},
+		"a frozen relay, its followers lose the platform": {func(f *fleet) {
+			f.instances[0].frozen = true
+			for n := 2; n < size; n += 2 {
+				f.instances[n].withoutPlatform = true
+			}
+		}, size - 1},
+		"the platform is slow": {func(f *fleet) {
+			for _, i := range f.instances {
+				i.platformDelay = 300 * time.Millisecond
+			}
+		}, size},
+	} {
+		t.Run(name, func(t *testing.T) {
+			worst := time.Duration(0)
+			for phase := range 8 {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					f := newFleet(ctx, size)
+					time.Sleep(10*time.Second + time.Duration(phase)*130*time.Millisecond)
+					c.lose(f)
+					time.Sleep(time.Millisecond)
+					leaving := putChange("e", 0)
+					leaving.Endpoint.Leaving = true
+					f.publish(leaving)
+					listed := time.Now()
+					time.Sleep(5 * time.Second)
+					reached := 0
+					for _, i := range f.instances {
+						if !i.learned.IsZero() {
+							reached++
+							worst = max(worst, i.learned.Sub(listed))
+						}
+					}
+					cancel()
+					// Lets what is in progress end.
+					time.Sleep(time.Second)
+					must.Eq(t, c.reached, reached)
+				})
+			}
+			t.Logf("worst %v", worst)
+			must.LessEq(t, propagationBound, worst)
+		})
+	}
+}
+
+// largeConfigBytes is the size of largeConfig on the platform's wire.
+const largeConfigBytes = 1100 << 10
+
+// largeConfig returns a configuration with thousands of routes.
+func largeConfig() *routing.Config {
+	c := &routing.Config{Version: 2}
+	for n := range 4250 {
+		c.Routes = append(c.Routes, routing.Route{
+			Name: fmt.Sprintf("r-%x", xxhash.Sum64String(fmt.Sprint(n))), Host: fmt.Sprintf("host%d.example", n%97), Prefix: fmt.Sprintf("/path%d/", n),
+			Kind: routing.Stream, Split: []routing.Share{{Service: "engines", Weight: 1}},
+		})
+	}
+	return c
+}
+
+// Guards against a removal that arrives late since it waits behind a large
+// configuration, which relays with slow links send to their readers, and against a
+// transfer that is slow but sound, given up and begun again elsewhere.
+func TestChangeIsNotDelayedByLargeConfiguration(t *testing.T) {
+	const size = 20
+	// linkBytesPerSecond is a link of 10 Mbit/s, applyBound the bound on the time until a
+	// configuration is in force.
+	const (
+		linkBytesPerSecond = 1250 << 10
+		applyBound         = 3 * time.Second
+	)
+	config := largeConfig()
+	for name, slow := range map[string]func(n int) bool{
+		"all links slow": func(int) bool { return true },
+		"slow relays":    func(n int) bool { return n < 2 },
+		"one slow relay": func(n int) bool { return n == 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			worst, worstConfig := time.Duration(0), time.Duration(0)
+			for phase := range 2 {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					f := newFleet(ctx, size)
+					for n, i := range f.instances {
+						if slow(n) {
+							i.bytesPerSecond = linkBytesPerSecond
+						}
+					}
+					time.Sleep(10*time.Second + time.Duration(phase)*350*time.Millisecond)
+					f.publish(Change{Config: config})
+					published := time.Now()
+					time.Sleep(500 * time.Millisecond)
+					leaving := putChange("e", 0)
+					leaving.Endpoint.Leaving = true
+					f.publish(leaving)
+					listed := time.Now()
+					time.Sleep(6 * time.Second)
+					for _, i := range f.instances {
+						must.False(t, i.learned.IsZero() || i.configured.IsZero())
+						worst = max(worst, i.learned.Sub(listed))
+						worstConfig = max(worstConfig, i.configured.Sub(published))
+					}
+					cancel()
+					time.Sleep(2 * time.Second)
+				})
+			}
+			t.Logf("worst %v, configuration %v", worst, worstConfig)
+			must.LessEq(t, propagationBound, worst)
+			must.LessEq(t, applyBound, worstConfig)
+		})
+	}
+}
--- a/internal/scheduler/platform_test.go
+++ b/internal/scheduler/platform_test.go
@@ -116,3 +116,32 @@
 	must.Eq(t, ConfigStale, i.refusal(i.arrive(route("r", 0), keyed)).Reason)
 	must.True(t, i.running(i.arrive(route("r", 0), nil)))
 }
+
+// Guards against an endpoint that stays in use after its entry was removed because the
+// reads of this instance were late: that is no outage of the platform, in which entries
+// of live endpoints lapse.
+func TestLateReadsAreNoOutageOfThePlatform(t *testing.T) {
+	i := newServingInstance(t, 2, 4)
+	i.advance(time.Second)
+	// A read through another instance is given up, and the next one transfers a large
+	// configuration.
+	i.advanceOffline(1800 * time.Millisecond)
+	i.readDirectory(directory.Update{From: "10.0.0.2:1", Err: errors.New("timeout")})
+	readAt := int64(i.now)
+	i.advanceOffline(1100 * time.Millisecond)
+	i.step(DirectoryRead{Update: directory.Update{ReadAt: readAt, Batch: directory.Batch{
+		Changes: []directory.Change{{EndpointID: "e0", Revision: 9}}, Revision: 9}}})
+	must.MapNotContainsKey(t, i.s.endpoints, "e0")
+}
+
+// An outage of the platform in which entries of live endpoints lapse, as far as one
+// instance can tell.
+func TestRemovalDirectlyAfterAnOutageIsPutOff(t *testing.T) {
+	i := newServingInstance(t, 2, 4)
+	i.advance(time.Second)
+	i.advanceOffline(3 * time.Second)
+	i.applyChanges(directory.Change{EndpointID: "e0"})
+	must.MapContainsKey(t, i.s.endpoints, "e0")
+	i.advance(lapseGrace)
+	must.MapNotContainsKey(t, i.s.endpoints, "e0")
+}
