Entries: late reads of an instance are no outage of the platform

Callers' requests reached an endpoint 3.06 and 3.42 s after its entry was removed. The instance had read the removal after 2.4 s, but put it off by 1.8 s: it took its own late reads for an outage, in which entries of live endpoints may lapse.

An outage is now the time from the last answer to the begin of the next read that succeeds, in place of the age of the last read at the end of the next one. A transfer that takes long is a sign of life. Lapses need three heartbeats without the platform, which such a gap shows and a slow link does not.

--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -17,9 +17,10 @@
 	// outage remain in use. Live endpoints are listed again within two seconds of
 	// the platform's return.
 	lapseGrace = 1800 * time.Millisecond
-	// outageThreshold is the age of the last answer from which the platform
-	// counts as having been unreachable. It is longer than a poll without
-	// changes.
+	// outageThreshold is the time between an answer and the begin of the next read
+	// that succeeds, from which the platform counts as having been down. It is longer
+	// than a poll without changes. How long the read then takes does not matter: an
+	// answer that is being received is a sign of life.
 	outageThreshold = 2500 * time.Millisecond
 )
 
@@ -27,6 +28,8 @@
 type platformStatus struct {
 	// confirmedAt is when the latest successful read began.
 	confirmedAt Instant
+	// answeredAt is when the platform was last known to answer.
+	answeredAt Instant
 	// lastError is the error of the latest read, empty if it succeeded.
 	lastError string
 	// reconnectedAt is when the platform was first read after the last outage.
@@ -82,15 +85,21 @@
 		s.count(CounterReads, "relayed")
 	}
 	readAt := Instant(u.ReadAt)
-	outage := s.platform.confirmedAt != never && s.now.Sub(s.platform.confirmedAt) > outageThreshold
+	outage := s.platform.confirmedAt != never && readAt.Sub(s.platform.answeredAt) > outageThreshold
 	if s.platform.lastError != "" || s.platform.confirmedAt == never {
 		s.log("platform_reached", "revision", u.Batch.Revision, "relay", u.From, "config_age_ms", s.configAge().Milliseconds())
 	}
 	if outage {
 		s.platform.reconnectedAt = s.now
+		s.log("platform_outage", "for_ms", readAt.Sub(s.platform.answeredAt).Milliseconds())
 	}
 	s.platform.lastError = ""
 	s.platform.confirmedAt = max(s.platform.confirmedAt, readAt)
+	if u.From == "" {
+		s.platform.answeredAt = s.now
+	} else {
+		s.platform.answeredAt = max(s.platform.answeredAt, readAt)
+	}
 	if u.NewHistory {
 		s.historyReplaced(u)
 	}
--- a/internal/scheduler/platform_test.go
+++ b/internal/scheduler/platform_test.go
@@ -145,3 +145,16 @@
 	i.advance(lapseGrace)
 	must.MapNotContainsKey(t, i.s.endpoints, "e0")
 }
+
+// Guards against a read that takes long, but is answered, and is then taken for an
+// outage by the next one.
+func TestLongReadIsNoOutageOfThePlatform(t *testing.T) {
+	i := newServingInstance(t, 2, 4)
+	i.advance(time.Second)
+	readAt := int64(i.now)
+	i.advanceOffline(3 * time.Second)
+	i.step(DirectoryRead{Update: directory.Update{ReadAt: readAt}})
+	i.advanceOffline(100 * time.Millisecond)
+	i.applyChanges(directory.Change{EndpointID: "e0"})
+	must.MapNotContainsKey(t, i.s.endpoints, "e0")
+}
