Directory: the next source is read in parallel once an answer is late

An instance read its sources in turn: its relay, then the platform, then two other instances, each after the one before had timed out or its data had become old.

A read now is a round: an answer that is a quarter of a second late is waited for, and the next source is read too, then the one after it; what is current first ends the round. A slow answer still counts when it comes, so a platform that is slow but sound stays in use. An instance whose own answer is late says so at once to those that read through it.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -26,6 +26,9 @@
 	ErrOldHistory = errors.New("directory: answer is from before the last read")
 )
 
+// ErrLate means that no answer has arrived in time that is current. The read goes on.
+var ErrLate = errors.New("directory: answer is late")
+
 // Position is a point in the platform's history.
 type Position struct {
 	// Era is the number of the history. It increases when the platform comes back
@@ -78,6 +81,9 @@
 	// Age is how far the data was out of date when the read began. It is zero
 	// for reads from the platform.
 	Age time.Duration `json:"-"`
+	// Late is set if the instance that served the read is itself waiting for an answer
+	// that is late.
+	Late bool `json:"-"`
 }
 
 // Source is a client of the platform. Each call issues its own requests,
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -33,6 +33,8 @@
 	// AgeMicros is how far the data was out of date when the request arrived,
 	// in microseconds.
 	AgeMicros int64
+	// Late is Batch.Late.
+	Late bool `json:",omitempty"`
 }
 
 // RelayHandler serves a Replica to other instances. now must be the clock that
@@ -72,7 +74,7 @@
 		}
 		w.Header().Set("Content-Type", "application/json")
 		// The write fails only if the client has disconnected.
-		_ = json.NewEncoder(w).Encode(relayAnswer{Batch: batch, AgeMicros: age.Microseconds()})
+		_ = json.NewEncoder(w).Encode(relayAnswer{Batch: batch, AgeMicros: age.Microseconds(), Late: batch.Late})
 	})
 }
 
@@ -124,6 +126,7 @@
 	if err := json.Unmarshal(body, &answer); err != nil {
 		return Batch{}, errors.Wrap(err, "relay: answer")
 	}
+	answer.Batch.Late = answer.Late
 	answer.Batch.Age = time.Duration(answer.AgeMicros) * time.Microsecond
 	return answer.Batch, nil
 }
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // maxTombstones bounds the deletions that a Replica retains. A reader at a
@@ -26,6 +28,8 @@
 	// confirmedAt is the time as of which the data is known to be current:
 	// when the most recent successful read began.
 	confirmedAt int64
+	// lateSince is when the read began whose answer is late, or zero.
+	lateSince int64
 	// changed is closed and replaced whenever a successful read is applied.
 	changed chan struct{}
 }
@@ -47,13 +51,18 @@
 // endpoint.
 func (c Change) relevant() bool { return c.Config != nil || c.EndpointID != "" }
 
-// Apply applies the result of a read. Failed reads are ignored.
+// Apply applies the result of a read. Of failed reads only one whose answer is late
+// counts: readers must not wait for it.
 func (r *Replica) Apply(u Update) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if errors.Is(u.Err, ErrLate) {
+		r.lateSince = u.ReadAt
+		r.wake()
+	}
 	if u.Err != nil {
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if u.NewHistory || u.Batch.Era > r.era {
 		r.replaceHistory(u.Batch.Era)
 	}
@@ -66,6 +75,14 @@
 	r.hasListing = r.hasListing || u.Full
 	r.revision = max(r.revision, u.Batch.Revision)
 	r.confirmedAt = max(r.confirmedAt, u.ReadAt)
+	if r.confirmedAt >= r.lateSince {
+		r.lateSince = 0
+	}
+	r.wake()
+}
+
+// wake lets the readers look at the data again.
+func (r *Replica) wake() {
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -122,13 +139,14 @@
 // Watch returns the changes after a position, and how far they were out of
 // date at requestedAt, the time of the call by the clock of the updates. It
 // waits for at most wait until a read that began at or after requestedAt has
-// succeeded or a newer revision is available.
+// succeeded, a newer revision is available, or the answer to a read of this instance is
+// late.
 func (r *Replica) Watch(ctx context.Context, requestedAt int64, after Position, wait time.Duration) (Batch, time.Duration, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for waiting := true; waiting; {
 		r.mu.Lock()
-		done, changed := r.confirmedAt >= requestedAt || (r.revision > after.Revision || r.otherHistory(after)) && r.hasListing, r.changed
+		done, changed := r.lateSince != 0 || r.confirmedAt >= requestedAt || (r.revision > after.Revision || r.otherHistory(after)) && r.hasListing, r.changed
 		r.mu.Unlock()
 		if done {
 			break
@@ -156,7 +174,7 @@
 	if !r.hasListing || after > 0 && (after < r.compactRevision || r.otherHistory(position)) {
 		return Batch{Era: r.era}, 0, ErrCompacted
 	}
-	batch := Batch{Era: r.era, Revision: max(r.revision, after)}
+	batch := Batch{Era: r.era, Revision: max(r.revision, after), Late: r.lateSince != 0}
 	for _, c := range r.entries {
 		if c.Revision > after || after == 0 {
 			batch.Changes = append(batch.Changes, c)
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,22 +17,23 @@
 	// relayPlatformPollWait replaces platformPollWait on an instance that is a
 	// relay: data read through it is older by up to the same time again.
 	relayPlatformPollWait = 500 * time.Millisecond
-	// relayPollWait is how long a relay may hold a poll open: two of its own
-	// reads, the second of which began after the poll.
-	relayPollWait = 2*relayPlatformPollWait + 200*time.Millisecond
-	// maxRelayAge is the age of a relay's data above which the relay is
-	// considered cut off from the platform. sourceCooldown is how long a
-	// failed or outdated source is bypassed: the platform is then read
-	// directly instead of the relay, or backups instead of the platform.
+	// relayPollWait is how long another instance may hold a poll open: some more than
+	// one of its own.
+	relayPollWait = 800 * time.Millisecond
+	// lateAfter is how long an answer may be late before the next source is read too.
+	// It is some fifty times the platform's usual response time.
+	lateAfter = 250 * time.Millisecond
+	// maxRelayAge is the age of another instance's data above which it is considered
+	// cut off from the platform. sourceCooldown is how long a source that failed, was
+	// outdated or late is bypassed, unless its answer arrives after all.
 	maxRelayAge    = 1500 * time.Millisecond
 	sourceCooldown = 3 * time.Second
-	// pollTimeoutSlack is added to the wait of a poll to get its timeout. It
-	// is some fifty times the platform's usual response time, and less than
-	// the second that remains of the usual bound on applying a change (2 s).
+	// pollTimeoutSlack is added to the wait of a poll to get its timeout.
 	pollTimeoutSlack = 600 * time.Millisecond
 	// listTimeout bounds a full listing, all pages included.
 	listTimeout = 3 * time.Second
-	// initialBackoff and maxBackoff bound the delay after a failed read.
+	// initialBackoff and maxBackoff bound the delay before the next read while every
+	// source is bypassed.
 	initialBackoff = 50 * time.Millisecond
 	maxBackoff     = 400 * time.Millisecond
 )
@@ -65,17 +66,27 @@
 	Relay string
 	// IsRelay is set if other instances read from this one.
 	IsRelay bool
-	// Backups are the addresses of instances to read from, in turn, while the
-	// platform is unreachable. Empty ones are skipped.
+	// Backups are the addresses of instances to read from while the platform is
+	// unreachable. Empty ones are skipped.
 	Backups [2]string
 }
 
-// backup returns the nth backup, modulo the number of backups.
-func (p ReadPlan) backup(n int) string {
-	if first := p.Backups[n%len(p.Backups)]; first != "" {
-		return first
+// platformAddress stands for the platform among the addresses of sources.
+const platformAddress = ""
+
+// sources returns the addresses of all sources, the preferred one first.
+func (p ReadPlan) sources() []string {
+	var out []string
+	if p.Relay != "" {
+		out = append(out, p.Relay)
+	}
+	out = append(out, platformAddress)
+	for _, b := range p.Backups {
+		if b != "" && b != p.Relay {
+			out = append(out, b)
+		}
 	}
-	return p.Backups[(n+1)%len(p.Backups)]
+	return out
 }
 
 // WatcherConfig configures a Watcher.
@@ -93,7 +104,9 @@
 	Updated func(Update)
 }
 
-// Watcher keeps a listing current. It is a suture service.
+// Watcher keeps a listing current. It is a suture service. It reads one source at a
+// time; once an answer is late, the next source is read in parallel, and whatever
+// arrives first counts.
 type Watcher struct {
 	cfg      WatcherConfig
 	listed   bool
@@ -103,19 +116,33 @@
 	// successful poll.
 	historyReplaced bool
 	relists         int
-	backoff         time.Duration
-	// bypassRelayUntil is the time until which the platform is read directly,
-	// after the relay failed or was outdated.
-	bypassRelayUntil int64
-	// bypassPlatformUntil is the time until which backups are read, after a
-	// read from the platform failed. failedBackups counts the failed or
-	// outdated relay and backup reads and selects the next backup.
-	bypassPlatformUntil int64
-	failedBackups       int
+	// polls are the reads in progress, by the address of their source. They deliver
+	// to answers.
+	polls   map[string]*poll
+	answers chan answer
+	// round is the search for a current answer in progress, or nil.
+	round *round
+	// bypassed holds until when sources are not read that failed, or were late or
+	// outdated.
+	bypassed map[string]int64
+	backoff  time.Duration
+}
+
+// round is the search for an answer that is current as of its begin.
+type round struct {
+	// primary is the first source. An answer in time ends the round, whatever its age.
+	primary string
+	begunAt int64
+	// nextAt is when the next source is read, lateAt when the round counts as late, which
+	// late records.
+	nextAt, lateAt int64
+	late           bool
 }
 
 // NewWatcher returns a Watcher that starts reading when Serve is called.
-func NewWatcher(cfg WatcherConfig) *Watcher { return &Watcher{cfg: cfg} }
+func NewWatcher(cfg WatcherConfig) *Watcher {
+	return &Watcher{cfg: cfg, polls: map[string]*poll{}, answers: make(chan answer), bypassed: map[string]int64{}}
+}
 
 // Serve reads until ctx is done and returns its error.
 func (w *Watcher) Serve(ctx context.Context) error {
@@ -125,62 +152,119 @@
 			break
 		}
 		w.cfg.Updated(update)
-		if update.Err != nil && (update.From == "" && !needsListing(update.Err) || w.relists > 1) {
-			w.waitBackoff(ctx)
-		}
 	}
 	return ctx.Err()
 }
 
-// source selects the source of the next read, and how long it may hold a poll
-// open.
-func (w *Watcher) source() (source Source, from string, wait time.Duration) {
-	plan := ReadPlan{}
-	if w.cfg.Plan != nil {
-		plan = w.cfg.Plan()
+// read returns the next result of a read.
+func (w *Watcher) read(ctx context.Context) Update {
+	for {
+		w.startPolls(ctx)
+		if w.becomesLate() {
+			return Update{ReadAt: w.round.begunAt, From: w.round.primary, Err: ErrLate}
+		}
+		timer := time.NewTimer(w.untilDue())
+		select {
+		case a := <-w.answers:
+			timer.Stop()
+			if update, counts := w.receive(a); counts {
+				return update
+			}
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return Update{Err: ctx.Err()}
+		}
+	}
+}
+
+// receive applies the answer to a poll. It reports whether the answer counts: one may
+// have been overtaken by that of another source.
+func (w *Watcher) receive(a answer) (update Update, counts bool) {
+	p := a.poll
+	p.cancel()
+	if w.polls[p.from] != p {
+		return Update{}, false
 	}
-	switch {
-	case plan.Relay != "" && w.cfg.Now() >= w.bypassRelayUntil:
-		return &Relay{Address: plan.Relay, Client: w.cfg.RelayClient}, plan.Relay, relayPollWait
-	case plan.backup(w.failedBackups) != "" && w.cfg.Now() < w.bypassPlatformUntil:
-		address := plan.backup(w.failedBackups)
-		return &Relay{Address: address, Client: w.cfg.RelayClient}, address, relayPollWait
-	case plan.IsRelay:
-		return w.cfg.Source, "", relayPlatformPollWait
-	default:
-		return w.cfg.Source, "", platformPollWait
+	delete(w.polls, p.from)
+	if w.overtaken(a) {
+		return Update{}, false
 	}
+	u := Update{ReadAt: p.startedAt, Full: p.full, From: p.from, Batch: a.batch, Err: a.err}
+	if !p.full && p.after != w.position {
+		u.Batch.Changes = slices.DeleteFunc(slices.Clone(u.Batch.Changes), func(c Change) bool { return c.Revision <= w.position.Revision })
+	}
+	w.checkHistory(&u)
+	u.ReadAt -= int64(u.Batch.Age)
+	w.advance(&u)
+	w.recordOutcome(u)
+	return u, true
 }
 
-func (w *Watcher) read(ctx context.Context) Update {
-	source, from, wait := w.source()
-	update := Update{ReadAt: w.cfg.Now(), Full: !w.listed, From: from}
-	if update.Full {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		update.Batch, update.Err = source.List(ctx)
-	} else {
-		ctx, cancel := context.WithTimeout(ctx, wait+pollTimeoutSlack)
-		defer cancel()
-		update.Batch, update.Err = source.Watch(ctx, w.position, wait)
+// overtaken reports whether an answer is of no use any more, since those of other
+// sources were applied while it was in progress.
+func (w *Watcher) overtaken(a answer) bool {
+	p := a.poll
+	switch {
+	case p.full:
+		return w.listed
+	case !w.listed || p.after.Era != w.position.Era:
+		return true
+	case a.err != nil:
+		return needsListing(a.err) && p.after != w.position
 	}
-	w.checkHistory(&update)
-	update.ReadAt -= int64(update.Batch.Age)
-	w.recordSourceOutcome(update)
+	return a.batch.Revision < w.position.Revision && a.batch.Era == w.position.Era && p.after != w.position
+}
+
+// advance applies a result to the position from which the next reads continue.
+func (w *Watcher) advance(u *Update) {
 	switch {
-	case needsListing(update.Err):
+	case needsListing(u.Err):
 		w.listed = false
 		w.relists++
-	case update.Err != nil:
-	case update.Full:
-		update.NewHistory, w.historyReplaced = w.historyReplaced, false
+	case u.Err != nil:
+	case u.Full:
+		u.NewHistory, w.historyReplaced = w.historyReplaced, false
 		w.listed = true
-		w.position.Revision = update.Batch.Revision
+		w.position.Revision = u.Batch.Revision
+	default:
+		w.position.Revision = max(w.position.Revision, u.Batch.Revision)
+		w.relists = 0
+	}
+}
+
+// recordOutcome ends the round after an answer that is current, and bypasses sources
+// that are of no use.
+func (w *Watcher) recordOutcome(u Update) {
+	now := w.cfg.Now()
+	relayed := u.From != platformAddress
+	switch {
+	case needsListing(u.Err):
+		if relayed && errors.Is(u.Err, ErrCompacted) {
+			w.bypass(u.From)
+		}
+		w.cancelPolls()
+		w.round = nil
+	case u.Err != nil || relayed && (u.Batch.Late || u.Batch.Age > maxRelayAge):
+		w.bypass(u.From)
+		w.round.nextAt = now
 	default:
-		w.position.Revision = max(w.position.Revision, update.Batch.Revision)
-		w.relists, w.backoff = 0, 0
+		delete(w.bypassed, u.From)
+		if u.From != w.round.primary && u.ReadAt < w.round.begunAt {
+			return
+		}
+		if u.From != w.round.primary {
+			w.bypass(w.round.primary)
+		}
+		w.round = nil
+		if !u.Full {
+			w.backoff = 0
+		}
 	}
-	return update
+}
+
+func (w *Watcher) bypass(source string) {
+	w.bypassed[source] = w.cfg.Now() + int64(sourceCooldown)
 }
 
 // needsListing reports whether a read failed because the changes since the last
@@ -216,31 +300,3 @@
 		w.historyReplaced = true
 	}
 }
-
-// recordSourceOutcome updates the choice of the next source after a failed or
-// outdated read: the platform is read after a relay has failed, a backup after
-// the platform has failed.
-func (w *Watcher) recordSourceOutcome(u Update) {
-	failed := u.Err != nil && !needsListing(u.Err)
-	switch {
-	case u.From == "" && failed:
-		w.bypassPlatformUntil = w.cfg.Now() + int64(sourceCooldown)
-	case u.From != "" && (u.Err != nil && !errors.Is(u.Err, ErrNewHistory) || u.Batch.Age > maxRelayAge):
-		w.bypassRelayUntil = w.cfg.Now() + int64(sourceCooldown)
-		w.bypassPlatformUntil = 0
-		w.failedBackups++
-	}
-}
-
-// waitBackoff waits before the next read, longer after each consecutive
-// failure. Jitter keeps instances that lost the platform at the same time from
-// returning at the same time.
-func (w *Watcher) waitBackoff(ctx context.Context) {
-	w.backoff = min(max(2*w.backoff, initialBackoff), maxBackoff)
-	timer := time.NewTimer(w.backoff/2 + rand.N(w.backoff/2+1))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/balsamstair/balsamstair/internal/routing"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -71,6 +72,11 @@
 }
 
 func (s *State) directoryRead(u directory.Update) {
+	if errors.Is(u.Err, directory.ErrLate) {
+		s.count(CounterReads, "late")
+		s.log("read_late", "from", cmp.Or(u.From, platformSource), "config_age_ms", s.configAge().Milliseconds())
+		return
+	}
 	if u.Err != nil {
 		s.count(CounterReads, "failed")
 		if s.platform.lastError == "" {
