Directory: a large configuration no longer delays changes of endpoints

The removal of an endpoint was known only 2.4 to 2.6 s later at the readers of relays with slow links: it was in the same answers as a configuration of 1.1 MB that each relay sent to ten readers over 10 Mbit/s. Their polls were given up after 1.8 s although the answer was being received, and begun again at the platform. Beside, the full link cost the relays their paths to endpoints.

What an instance serves to others now contains changes of endpoints and the version of the newest configuration; the configuration itself is fetched separately, compressed, three transfers at a time, and from the platform after half a second without progress. Until it is there the read does not confirm the configuration, so no withdrawn key is used longer. A transfer ends only when it makes no progress, and an answer that is being received is not late for a second. Readers of earlier releases get the answers that they know.

One test of the relay changed with its protocol.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -84,6 +84,9 @@
 	// Late is set if the instance that served the read is itself waiting for an answer
 	// that is late.
 	Late bool `json:"-"`
+	// ConfigVersion is the version of the newest configuration that the instance which
+	// served the read knows of, or zero. Such a read does not contain configurations.
+	ConfigVersion int64 `json:"-"`
 }
 
 // Source is a client of the platform. Each call issues its own requests,
@@ -94,4 +97,6 @@
 	// Watch returns the changes after a position, waiting at most wait for
 	// one. It returns ErrCompacted if those changes are no longer available.
 	Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error)
+	// Config returns the newest configuration alone.
+	Config(ctx context.Context) (Batch, error)
 }
--- a/internal/directory/poll.go
+++ b/internal/directory/poll.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // poll is a read of a source in progress.
@@ -14,7 +16,10 @@
 	full      bool
 	after     Position
 	startedAt int64
-	cancel    context.CancelFunc
+	// config is set for the transfer of a configuration alone.
+	config   bool
+	progress *progress
+	cancel   context.CancelFunc
 }
 
 // answer is the result of a poll.
@@ -31,6 +36,10 @@
 	if !begins && w.cfg.Now() < w.round.nextAt {
 		return
 	}
+	if !begins && w.receiving() && w.cfg.Now() < w.round.lateAt+int64(maxReceiving) {
+		w.round.nextAt = w.cfg.Now() + int64(lateAfter)
+		return
+	}
 	source, usable := w.nextSource()
 	if !usable && len(w.polls) > 0 {
 		// One of those in progress answers or times out.
@@ -64,7 +73,8 @@
 
 // becomesLate reports whether the answer that ends the round has just become late.
 func (w *Watcher) becomesLate() bool {
-	if w.round.late || w.cfg.Now() < w.round.lateAt {
+	now := w.cfg.Now()
+	if w.round.late || now < w.round.lateAt || w.receiving() && now < w.round.lateAt+int64(maxReceiving) {
 		return false
 	}
 	w.round.late = true
@@ -75,7 +85,10 @@
 func (w *Watcher) untilDue() time.Duration {
 	at := w.round.nextAt
 	if !w.round.late {
-		at = min(at, w.round.lateAt)
+		at = min(at, max(w.round.lateAt, w.cfg.Now()+int64(lateAfter)/4))
+	}
+	if w.fetch != nil {
+		at = min(at, w.fetch.nextAt)
 	}
 	return time.Duration(at - w.cfg.Now())
 }
@@ -116,23 +129,38 @@
 
 // start begins to read a source.
 func (w *Watcher) start(ctx context.Context, from string, wait time.Duration) {
-	timeout := wait + pollTimeoutSlack
+	timeout, limit := wait+pollTimeoutSlack, wait+maxConfigTransfer
 	if !w.listed {
 		timeout = listTimeout
 	}
-	var source Source = w.cfg.Source
-	if from != platformAddress {
-		source = &Relay{Address: from, Client: w.cfg.RelayClient}
-	}
-	pollCtx, cancel := context.WithTimeout(ctx, timeout)
-	p := &poll{from: from, full: !w.listed, after: w.position, startedAt: w.cfg.Now(), cancel: cancel}
+	source := w.source(from)
+	pollCtx, progress, cancel := stallTimeout(ctx, timeout, pollTimeoutSlack, limit)
+	p := &poll{from: from, full: !w.listed, after: w.position, startedAt: w.cfg.Now(), progress: progress, cancel: cancel}
 	w.polls[from] = p
+	w.deliver(ctx, pollCtx, p, func() (Batch, error) {
+		if p.full {
+			return source.List(pollCtx)
+		}
+		return source.Watch(pollCtx, p.after, wait)
+	})
+}
+
+// source returns the source with an address.
+func (w *Watcher) source(address string) Source {
+	if address == platformAddress {
+		return w.cfg.Source
+	}
+	return &Relay{Address: address, Client: w.cfg.RelayClient}
+}
+
+// deliver calls read and delivers its result as the answer to a poll, whose context is
+// pollCtx.
+func (w *Watcher) deliver(ctx, pollCtx context.Context, p *poll, read func() (Batch, error)) {
 	go func() {
 		a := answer{poll: p}
-		if p.full {
-			a.batch, a.err = source.List(pollCtx)
-		} else {
-			a.batch, a.err = source.Watch(pollCtx, p.after, wait)
+		a.batch, a.err = read()
+		if a.err != nil && errors.Is(context.Cause(pollCtx), context.DeadlineExceeded) {
+			a.err = errors.CombineErrors(context.DeadlineExceeded, a.err)
 		}
 		select {
 		case w.answers <- a:
@@ -141,6 +169,16 @@
 	}()
 }
 
+// receiving reports whether an answer is just being received.
+func (w *Watcher) receiving() bool {
+	for _, p := range w.polls {
+		if p.progress.within(lateAfter) {
+			return true
+		}
+	}
+	return false
+}
+
 // cancelPolls ends the reads in progress, whose answers no longer count.
 func (w *Watcher) cancelPolls() {
 	for from, p := range w.polls {
--- a/internal/directory/propagation_test.go
+++ b/internal/directory/propagation_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -54,7 +55,8 @@
 	learned, configured time.Time
 }
 
-// transfer occupies the link for the time of an answer. Answers share the link.
+// transfer occupies the link for the time of an answer, whose parts ctx is told of.
+// Answers share the link.
 func (i *fleetInstance) transfer(ctx context.Context, bytes int) {
 	const part = 16 << 10
 	i.fleet.mu.Lock()
@@ -64,6 +66,7 @@
 		i.link <- struct{}{}
 		time.Sleep(time.Duration(min(bytes, part)) * time.Second / time.Duration(bandwidth))
 		<-i.link
+		_, _ = ReportProgress(ctx, strings.NewReader("part")).Read(make([]byte, 4))
 	}
 }
 
@@ -125,6 +128,25 @@
 // List implements Source for the platform as this instance reaches it.
 func (i *fleetInstance) List(ctx context.Context) (Batch, error) { return i.Watch(ctx, Position{}, 0) }
 
+// Config implements Source.
+func (i *fleetInstance) Config(ctx context.Context) (Batch, error) {
+	i.fleet.mu.Lock()
+	published, lost := i.fleet.published, i.withoutPlatform || i.frozen
+	i.fleet.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
+	var newest Change
+	for _, c := range published {
+		if c.Config != nil {
+			newest = c
+		}
+	}
+	i.transfer(ctx, largeConfigBytes)
+	return Batch{Changes: []Change{newest}}, ctx.Err()
+}
+
 // Watch implements Source.
 func (i *fleetInstance) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	timer := time.NewTimer(wait)
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -1,7 +1,10 @@
 package directory
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -30,6 +33,10 @@
 	confirmedAt int64
 	// lateSince is when the read began whose answer is late, or zero.
 	lateSince int64
+	// announcedConfig is the version of the newest configuration that is known of,
+	// encodedConfig caches the answer that contains the newest one received.
+	announcedConfig int64
+	encodedConfig   encodedConfig
 	// changed is closed and replaced whenever a successful read is applied.
 	changed chan struct{}
 }
@@ -74,7 +81,10 @@
 	}
 	r.hasListing = r.hasListing || u.Full
 	r.revision = max(r.revision, u.Batch.Revision)
-	r.confirmedAt = max(r.confirmedAt, u.ReadAt)
+	r.announcedConfig = max(r.announcedConfig, u.Batch.ConfigVersion)
+	if !u.ConfigBehind {
+		r.confirmedAt = max(r.confirmedAt, u.ReadAt)
+	}
 	if r.confirmedAt >= r.lateSince {
 		r.lateSince = 0
 	}
@@ -110,6 +120,9 @@
 	}
 	if c.Config != nil || c.Endpoint != nil {
 		r.entries[c.key()] = c
+		if c.Config != nil {
+			r.announcedConfig = max(r.announcedConfig, c.Config.Version)
+		}
 		return
 	}
 	delete(r.entries, c.key())
@@ -174,7 +187,7 @@
 	if !r.hasListing || after > 0 && (after < r.compactRevision || r.otherHistory(position)) {
 		return Batch{Era: r.era}, 0, ErrCompacted
 	}
-	batch := Batch{Era: r.era, Revision: max(r.revision, after), Late: r.lateSince != 0}
+	batch := Batch{Era: r.era, Revision: max(r.revision, after), Late: r.lateSince != 0, ConfigVersion: r.announcedConfig}
 	for _, c := range r.entries {
 		if c.Revision > after || after == 0 {
 			batch.Changes = append(batch.Changes, c)
@@ -188,3 +201,38 @@
 	slices.SortFunc(batch.Changes, func(a, b Change) int { return int(a.Revision - b.Revision) })
 	return batch, time.Duration(max(requestedAt-r.confirmedAt, 0)), nil
 }
+
+// encodedConfig is a configuration as it is sent to other instances.
+type encodedConfig struct {
+	version int64
+	body    []byte
+}
+
+// errNoConfig means that no configuration has been received yet.
+var errNoConfig = errors.New("directory: no configuration")
+
+// encodeConfig returns the newest configuration received as compressed JSON.
+func (r *Replica) encodeConfig() ([]byte, error) {
+	r.mu.Lock()
+	change, known := r.entries[""]
+	encoded := r.encodedConfig
+	r.mu.Unlock()
+	switch {
+	case !known:
+		return nil, errNoConfig
+	case encoded.version == change.Config.Version && encoded.body != nil:
+		return encoded.body, nil
+	}
+	var out bytes.Buffer
+	packer, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "directory: configuration")
+	}
+	if err := errors.CombineErrors(json.NewEncoder(packer).Encode(change), packer.Close()); err != nil {
+		return nil, errors.Wrap(err, "directory: configuration")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.encodedConfig = encodedConfig{change.Config.Version, out.Bytes()}
+	return out.Bytes(), nil
+}
--- a/internal/directory/replica_test.go
+++ b/internal/directory/replica_test.go
@@ -110,8 +110,12 @@
 	relay := &Relay{Address: server.Listener.Addr().String(), Client: http.DefaultClient}
 	batch, err := relay.List(t.Context())
 	must.NoError(t, err)
-	must.Eq(t, []int64{3, 4, 5}, revisions(batch))
-	must.Eq(t, 1, batch.Changes[2].Config.Version)
+	must.Eq(t, []int64{3, 4}, revisions(batch))
+	must.Eq(t, 1, batch.ConfigVersion)
+	config, err := relay.Config(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, []int64{5}, revisions(config))
+	must.Eq(t, 1, config.Changes[0].Config.Version)
 	must.Greater(t, 100*time.Microsecond, batch.Age)
 	_, err = relay.Watch(t.Context(), Position{}, -time.Second)
 	must.Error(t, err)
@@ -160,7 +164,8 @@
 // A single instance loses the platform but still reaches other instances. It
 // continues with their data, whose age counts as usual.
 func TestWatcherReadsBackupsWhilePlatformIsUnreachable(t *testing.T) {
-	replica := newListedReplica()
+	replica := NewReplica()
+	replica.Apply(Update{ReadAt: 100, Full: true, Batch: Batch{Revision: 10, Changes: []Change{putChange("a", 3)}}})
 	server := httptest.NewServer(RelayHandler(replica, func() int64 { return 100 }))
 	defer server.Close()
 	clock := int64(time.Hour)
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -28,9 +28,13 @@
 	// outdated or late is bypassed, unless its answer arrives after all.
 	maxRelayAge    = 1500 * time.Millisecond
 	sourceCooldown = 3 * time.Second
-	// pollTimeoutSlack is added to the wait of a poll to get its timeout.
+	// pollTimeoutSlack is added to the wait of a poll to get its timeout, and how long
+	// an answer that is being received may make no progress.
 	pollTimeoutSlack = 600 * time.Millisecond
-	// listTimeout bounds a full listing, all pages included.
+	// maxReceiving is how long an answer that is being received may be late before the
+	// next source is read too.
+	maxReceiving = time.Second
+	// listTimeout bounds a full listing up to its first page.
 	listTimeout = 3 * time.Second
 	// initialBackoff and maxBackoff bound the delay before the next read while every
 	// source is bypassed.
@@ -54,7 +58,10 @@
 	// from a copy: what was read before may be missing in it, and what was
 	// removed before may be back.
 	NewHistory bool
-	Batch      Batch
+	// ConfigBehind is set while a newer configuration was announced than was received,
+	// so that the configuration is not confirmed by this read.
+	ConfigBehind bool
+	Batch        Batch
 	// Err is the error of a failed read; Batch is then empty.
 	Err error
 }
@@ -126,6 +133,10 @@
 	// outdated.
 	bypassed map[string]int64
 	backoff  time.Duration
+	// configVersion is the version of the newest configuration received, fetch the
+	// transfer of a newer one, or nil.
+	configVersion int64
+	fetch         *configFetch
 }
 
 // round is the search for an answer that is current as of its begin.
@@ -160,6 +171,7 @@
 func (w *Watcher) read(ctx context.Context) Update {
 	for {
 		w.startPolls(ctx)
+		w.startConfigPolls(ctx)
 		if w.becomesLate() {
 			return Update{ReadAt: w.round.begunAt, From: w.round.primary, Err: ErrLate}
 		}
@@ -182,6 +194,9 @@
 // have been overtaken by that of another source.
 func (w *Watcher) receive(a answer) (update Update, counts bool) {
 	p := a.poll
+	if p.config {
+		return w.receiveConfig(a)
+	}
 	p.cancel()
 	if w.polls[p.from] != p {
 		return Update{}, false
@@ -197,6 +212,9 @@
 	w.checkHistory(&u)
 	u.ReadAt -= int64(u.Batch.Age)
 	w.advance(&u)
+	if u.Err == nil {
+		w.recordConfig(&u)
+	}
 	w.recordOutcome(u)
 	return u, true
 }
--- a/internal/directory/watcher_test.go
+++ b/internal/directory/watcher_test.go
@@ -42,6 +42,8 @@
 
 func (s *scriptedSource) List(ctx context.Context) (Batch, error) { return s.next(ctx, "list") }
 
+func (s *scriptedSource) Config(ctx context.Context) (Batch, error) { return s.next(ctx, "config") }
+
 func (s *scriptedSource) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	// A source that is read after another one failed answers at once.
 	if wait != platformPollWait && wait != 0 {
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -100,7 +100,9 @@
 		s.log("platform_outage", "for_ms", readAt.Sub(s.platform.answeredAt).Milliseconds())
 	}
 	s.platform.lastError = ""
-	s.platform.confirmedAt = max(s.platform.confirmedAt, readAt)
+	if !u.ConfigBehind {
+		s.platform.confirmedAt = max(s.platform.confirmedAt, readAt)
+	}
 	if u.From == "" {
 		s.platform.answeredAt = s.now
 	} else {
--- a/internal/scheduler/platform_test.go
+++ b/internal/scheduler/platform_test.go
@@ -158,3 +158,14 @@
 	i.applyChanges(directory.Change{EndpointID: "e0"})
 	must.MapNotContainsKey(t, i.s.endpoints, "e0")
 }
+
+// Guards against keys that count as confirmed by a read that lacks a newer
+// configuration.
+func TestReadWithoutTheNewestConfigurationConfirmsNoKey(t *testing.T) {
+	i := newServingInstance(t, 1, 50)
+	for range 5 {
+		i.advanceOffline(time.Second)
+		i.readDirectory(directory.Update{From: "10.0.0.2:1", ConfigBehind: true})
+	}
+	must.Eq(t, ConfigStale, i.refusal(i.arrive(route("r", 0), keyed)).Reason)
+}
