Departures: instances that read the platform announce what they have read

What an instance read of the platform it told nobody, so that one whose own reads lagged went on using an endpoint that all its neighbours knew to be draining or removed: a fact with one way only. Instances that read the platform themselves now announce both to the members of their zone (to all in a small system), and complete reports within the zone repeat the newest four for two seconds. A process that is listed as draining gets no new requests from then on; one whose entry was removed gets none until the receiver has read that too, or a newer entry. Announcements of another era, or older than what was read, are ignored.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -50,6 +50,9 @@
 	for _, b := range r.Brittle {
 		m.Brittle = append(m.Brittle, encodeBrittle(b))
 	}
+	for _, d := range r.Departures {
+		m.Departures = append(m.Departures, &gossippb.Departure{Process: uint64(d.Process), Era: d.Era, Revision: d.Revision, Removed: d.Removed})
+	}
 	encodePermits(r, m)
 	encodeOrigins(r, m)
 	return proto.Marshal(m)
@@ -141,6 +144,11 @@
 	for _, b := range m.GetBrittle() {
 		r.Brittle = append(r.Brittle, decodeBrittle(b))
 	}
+	for _, d := range m.GetDepartures() {
+		r.Departures = append(r.Departures, scheduler.Departure{
+			Process: crash.Incarnation(d.GetProcess()), Era: d.GetEra(), Revision: d.GetRevision(), Removed: d.GetRemoved(),
+		})
+	}
 	decodePermits(m, &r)
 	decodeOrigins(m, &r)
 	return r, nil
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -40,6 +40,7 @@
 			{Service: "t", Brittleness: scheduler.Brittleness{Named: true}}, {Service: "u", SentAge: time.Second},
 		},
 		LeavingEndpoints: []crash.Incarnation{21},
+		Departures:       []scheduler.Departure{{Process: 22, Era: 3, Revision: 240, Removed: true}, {Process: 23, Revision: 241}},
 		EndQueries:       []crash.Incarnation{18},
 		Ended:            []crash.Incarnation{19, 20},
 		Paths:            []scheduler.ServicePaths{{Service: "s", Reached: 3}},
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -33,7 +33,13 @@
 // endpoint is a directory entry with its load and health.
 type endpoint struct {
 	directory.Endpoint
-	slots int
+	// revision is that of the last change of its entry.
+	revision int64
+	// withdrawnUntil is until when the endpoint gets no requests since another instance
+	// has announced the removal of its entry, at withdrawnRevision.
+	withdrawnUntil    Instant
+	withdrawnRevision int64
+	slots             int
 	// ownRunning is the number of this instance's requests at the endpoint.
 	ownRunning int
 	// ownPrefill is the number of prompt tokens of those requests whose answer
@@ -160,7 +166,14 @@
 	}
 	entry.Leaving = entry.Leaving || s.staysLeaving(entry)
 	changed := added || e.Leaving != entry.Leaving
+	if entry.Leaving && changed && !added {
+		s.departed(e.incarnation(), revision, false)
+	}
 	e.Endpoint = entry
+	e.revision = revision
+	if revision > e.withdrawnRevision {
+		e.withdrawnUntil = 0
+	}
 	e.software = origin.SoftwareOf(entry.Service, entry.Version)
 	s.history.Listed(entry.Service, e.software, origin.Time(s.now))
 	if added {
@@ -194,6 +207,7 @@
 		}
 		return
 	}
+	s.departed(e.incarnation(), revision, true)
 	s.removeEndpoint(e)
 	s.log("endpoint_gone", "endpoint", id, "service", e.Service, "revision", revision,
 		"from", s.reading.source, "read_age_ms", s.readAge().Milliseconds(), "last_dispatch_ms", s.sinceDispatch(e))
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -273,6 +273,8 @@
 	Brittle []BrittleStatement
 	// LeavingEndpoints lists processes that have said that they are about to leave.
 	LeavingEndpoints []crash.Incarnation
+	// Departures lists what the sender has lately read from the platform, or heard.
+	Departures []Departure
 	// Asks and Grants concern the permits for endpoints with rate limits.
 	Asks   []PermitAsk
 	Grants []PermitGrant
--- a/internal/scheduler/history.go
+++ b/internal/scheduler/history.go
@@ -48,7 +48,7 @@
 
 // endpointForgotten remembers the removal of an endpoint's entry.
 func (s *State) endpointForgotten(e *endpoint) {
-	s.gone[e.incarnation()] = goneEndpoint{s.now, e.Leaving}
+	s.gone[e.incarnation()] = goneEndpoint{at: s.now, leaving: e.Leaving}
 }
 
 // holdCopiedEntry reports whether an entry of a copy is not used for now, since
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -205,6 +205,7 @@
 	s.applyPermitMessages(r)
 	s.mergeBrittle(r.Brittle, r.Address)
 	s.mergeLeaving(r.LeavingEndpoints, r.Address)
+	s.applyDepartures(r.Departures, r.Address)
 	s.answerEndQueries(r.EndQueries, r.Address)
 	s.applyEnds(r.Ended)
 	s.mergeOrigins(r.Origins)
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -31,6 +31,8 @@
 	confirmedAt Instant
 	// answeredAt is when the platform was last known to answer.
 	answeredAt Instant
+	// era is the number of the history that was last read.
+	era int64
 	// lastError is the error of the latest read, empty if it succeeded.
 	lastError string
 	// reconnectedAt is when the platform was first read after the last outage.
@@ -108,11 +110,16 @@
 	} else {
 		s.platform.answeredAt = max(s.platform.answeredAt, readAt)
 	}
+	s.platform.era = max(s.platform.era, u.Batch.Era)
 	if u.NewHistory {
 		s.historyReplaced(u)
 	}
 	s.reading = directoryReading{cmp.Or(u.From, platformSource), readAt}
+	departuresBefore := len(s.departures)
 	s.applyBatch(u)
+	if u.From == "" {
+		s.announceDepartures(departuresBefore)
+	}
 	s.emit(ConfigConfirmed{At: s.platform.confirmedAt})
 }
 
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -83,7 +83,7 @@
 	if len(withLoads) > 0 {
 		s.emit(SendReport{To: withLoads, Report: report})
 	}
-	report.Loads, report.WithoutLoads = nil, true
+	report.Loads, report.WithoutLoads, report.Departures = nil, true, nil
 	if len(newRemote) > 0 {
 		s.emit(SendReport{To: newRemote, Report: report})
 	}
@@ -114,6 +114,7 @@
 		Brittle:       s.brittleReport(),
 
 		LeavingEndpoints: s.leavingReport(),
+		Departures:       s.departureReport(),
 	}
 	if s.table != nil {
 		report.Version = s.table.Version()
--- a/internal/scheduler/simulation_release_test.go
+++ b/internal/scheduler/simulation_release_test.go
@@ -17,8 +17,8 @@
 const drainingBound = time.Second
 
 // Guards against an endpoint that gets requests from an instance whose reads of the
-// platform lag although others of its zone have read that the endpoint is draining: a
-// release of many endpoints, which only two instances of each zone read, with reports
+// platform lag although others of its zone have read that the endpoint is draining or has
+// been removed: a release of many endpoints, which only two instances of each zone read, with reports
 // that are lost.
 func TestReadersAnnounceDrainingEndpoints(t *testing.T) {
 	t.Parallel()
@@ -53,9 +53,12 @@
 				worst, late := time.Duration(0), 0
 				for n := range drained {
 					c := f.entry(f.engines[fmt.Sprintf("e%d", n)])
-					draining := *c.Endpoint
+					draining, removed := *c.Endpoint, n%2 == 1
 					draining.Leaving = true
 					c.Endpoint, c.Revision = &draining, int64(10+n)
+					if removed {
+						c.Endpoint = nil
+					}
 					for _, i := range f.instances {
 						if read[i] {
 							f.step(i, DirectoryRead{Update: directory.Update{ReadAt: int64(f.now), Batch: directory.Batch{Changes: []directory.Change{c}, Revision: c.Revision}}})
@@ -63,7 +66,10 @@
 					}
 					listed = append(listed, f.now)
 					process := crash.IncarnationOf(draining.ID, draining.Started)
-					known := func(i *simInstance) bool { return i.s.incarnations[process].Leaving }
+					known := func(i *simInstance) bool {
+						e := i.s.incarnations[process]
+						return removed && (e == nil || f.now < e.withdrawnUntil) || !removed && e.Leaving
+					}
 					for _, i := range f.instances {
 						f.watchUntil(known, i, f.now, &worst)
 					}
@@ -72,7 +78,7 @@
 				f.advance(drainingBound)
 				for n := range drained {
 					for _, i := range f.instances {
-						if !i.s.endpoints[fmt.Sprintf("e%d", n)].Leaving {
+						if e := i.s.endpoints[fmt.Sprintf("e%d", n)]; e != nil && !e.Leaving && e.withdrawnUntil == 0 {
 							late++
 						}
 					}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -129,6 +129,9 @@
 	saidLeaving   map[crash.Incarnation]Instant
 	leavingOrder  []crash.Incarnation
 	leavingCursor int
+	// departures are the latest changes at the platform after which endpoints get no new
+	// requests, the oldest first.
+	departures []recentDeparture
 	// forwarded is the number of requests of other instances in progress here.
 	forwarded int
 	leaving   bool
@@ -226,6 +229,7 @@
 	s.releaseHeldEntries()
 	s.expireReportedVersion()
 	s.expireLeaving()
+	s.expireDepartures()
 	s.expireCrashes()
 	for _, p := range s.poolOrder {
 		s.reviewPaths(p)
--- a/internal/scheduler/stream_version_test.go
+++ b/internal/scheduler/stream_version_test.go
@@ -68,42 +68,44 @@
 			t.Parallel()
 			wentOn, takenUp := 0.0, 0
 			for seed := range uint64(size.seeds) {
-				f := newStreamSimulation(size.instances, size.engines, size.slots, "v1")
-				f.rand = rand.New(rand.NewPCG(seed, uint64(size.instances)))
-				f.streams.attempts = 1 + f.rand.IntN(3)
-				f.streams.lag = time.Duration(f.rand.IntN(3)) * time.Second
-				f.advance(3 * time.Second)
-				end := f.now.Add(18 * time.Second)
-				f.startStreams(size.rate, end)
-				f.injectFaults(1200*time.Millisecond, 15*time.Second)
-				f.rollOut("v1.1", size.engines/3, 200*time.Millisecond+time.Duration(f.rand.Int64N(int64(time.Second))))
-				f.after(6*time.Second, func() {
-					for range 3 {
-						f.rollOut([]string{"v1", "v2"}[f.rand.IntN(2)], size.engines/9, 500*time.Millisecond)
-					}
-				})
-				for n := range 5 {
-					f.after(time.Duration(2+3*n)*time.Second, func() {
-						e := f.randomEngine()
-						f.replaceEngine(e, e.version, 2*time.Second)
-						if n == 3 && seed%3 == 0 {
-							for _, i := range f.instances {
-								f.kill(i, time.Second)
-							}
+				t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+					f := newStreamSimulation(size.instances, size.engines, size.slots, "v1")
+					f.rand = rand.New(rand.NewPCG(seed, uint64(size.instances)))
+					f.streams.attempts = 1 + f.rand.IntN(3)
+					f.streams.lag = time.Duration(f.rand.IntN(3)) * time.Second
+					f.advance(3 * time.Second)
+					end := f.now.Add(18 * time.Second)
+					f.startStreams(size.rate, end)
+					f.injectFaults(1200*time.Millisecond, 15*time.Second)
+					f.rollOut("v1.1", size.engines/3, 200*time.Millisecond+time.Duration(f.rand.Int64N(int64(time.Second))))
+					f.after(6*time.Second, func() {
+						for range 3 {
+							f.rollOut([]string{"v1", "v2"}[f.rand.IntN(2)], size.engines/9, 500*time.Millisecond)
 						}
 					})
-				}
-				f.advance(24 * time.Second)
-				share, n := f.streams.goOnShare(partContact)
-				wentOn, takenUp = wentOn+share*float64(n), takenUp+n
-				if seed < 2 || f.streams.joined() > 0 {
-					t.Logf("%d instances, seed %d: %d streams, %d with events of two versions; %.2f begin; of %d taken up %.2f go on",
-						size.instances, seed, len(f.streams.all), f.streams.joined(), f.streams.beginShare(), n, share)
-				}
-				must.LessEq(t, joinedStreamsAllowed, f.streams.joined(), must.Sprint(seed))
-				if n >= 12 {
-					must.GreaterEq(t, 0.5*f.streams.beginShare(), share, must.Sprint(seed))
-				}
+					for n := range 5 {
+						f.after(time.Duration(2+3*n)*time.Second, func() {
+							e := f.randomEngine()
+							f.replaceEngine(e, e.version, 2*time.Second)
+							if n == 3 && seed%3 == 0 {
+								for _, i := range f.instances {
+									f.kill(i, time.Second)
+								}
+							}
+						})
+					}
+					f.advance(24 * time.Second)
+					share, n := f.streams.goOnShare(partContact)
+					wentOn, takenUp = wentOn+share*float64(n), takenUp+n
+					if seed < 2 || f.streams.joined() > 0 {
+						t.Logf("%d instances, seed %d: %d streams, %d with events of two versions; %.2f begin; of %d taken up %.2f go on",
+							size.instances, seed, len(f.streams.all), f.streams.joined(), f.streams.beginShare(), n, share)
+					}
+					must.LessEq(t, joinedStreamsAllowed, f.streams.joined(), must.Sprint(seed))
+					if n >= 12 {
+						must.GreaterEq(t, 0.5*f.streams.beginShare(), share, must.Sprint(seed))
+					}
+				})
 			}
 			t.Logf("%d instances: of %d taken up %.2f go on", size.instances, takenUp, wentOn/float64(max(takenUp, 1)))
 		})
