Paths: flapping links are used only after they were sound for some time

A path was used as soon as one connection was accepted, failed again a moment later, and the next loss was found out by requests. Instances that were asked to take such requests held them although they were flapping themselves.

Paths that are lost again within 10 s are now damped: while others reach the service all requests go through these, until a sample of the paths has been proved every 0.2 s for 1 s, then 2, 4 and 8 s; one failed proof starts that anew. An instance that is damped takes no requests of others.

TestFlappingLinksAreNoEndsOfEndpoints failed before.

--- a/internal/scheduler/path.go
+++ b/internal/scheduler/path.go
@@ -26,10 +26,14 @@
 	maxPathRetry  = time.Second
 	maxPathProbes = 16
 	// unstableTime is the time after their return within which paths that are lost
-	// again count as unstable. They must then be sound for longer, up to maxPathHold.
-	unstableTime = 5 * time.Second
-	minPathHold  = time.Second
-	maxPathHold  = 4 * time.Second
+	// again count as flapping. They are then used only after they were sound for some
+	// time, which doubles up to maxPathHold. flapProbeInterval is the time between two
+	// proofs of a path meanwhile, maxFlapProbes the paths that are proved each time.
+	unstableTime      = 10 * time.Second
+	minPathHold       = time.Second
+	maxPathHold       = 8 * time.Second
+	flapProbeInterval = 200 * time.Millisecond
+	maxFlapProbes     = 3
 )
 
 // endpointPath is what this instance knows about its own way to an endpoint.
@@ -60,6 +64,10 @@
 	lostAt, foundAt Instant
 	hold            time.Duration
 	soundSince      Instant
+	// damped is set while the paths are lost and flapping and other instances reach the
+	// service: requests go through these only.
+	damped     bool
+	flapProbed Instant
 }
 
 // reaches reports whether the path to an endpoint was proved since an instant.
@@ -153,6 +161,9 @@
 		if !p.paths.lost && p.paths.heardAt < began {
 			s.losePaths(p)
 		}
+		if began >= p.paths.soundSince && p.paths.soundSince != 0 {
+			s.restartHold(p)
+		}
 		return
 	}
 	returned := p.paths.lost && !e.path.reaches(p.paths.lostAt)
@@ -181,6 +192,7 @@
 		paths.hold = 0
 	}
 	paths.lost, paths.lostAt, paths.soundSince = true, s.now, 0
+	paths.damped = s.flapping(p)
 	for _, e := range p.endpoints {
 		e.path.failures, e.path.nextProbe = 0, s.now
 		if e.path.blamedAt > paths.heardAt {
@@ -205,7 +217,9 @@
 // looks for their return once they are lost.
 func (s *State) reviewPaths(p *pool) {
 	if p.paths.lost {
+		p.paths.damped = s.flapping(p)
 		s.probeLostPaths(p)
+		s.probeFlappingPaths(p)
 		s.reviewLostPaths(p)
 		return
 	}
@@ -256,6 +270,51 @@
 	}
 }
 
+// flapping reports whether the paths to a service, which are lost, come and go, and
+// other instances reach the service.
+func (s *State) flapping(p *pool) bool {
+	if p.paths.hold == 0 {
+		return false
+	}
+	for _, x := range s.members.byAddress {
+		if _, lost := x.lostPaths[p.service]; !lost && s.members.reachable(x, s.now) {
+			return true
+		}
+	}
+	return false
+}
+
+// probeFlappingPaths proves some paths again while they must be sound for a time.
+func (s *State) probeFlappingPaths(p *pool) {
+	paths := &p.paths
+	if paths.hold == 0 || paths.soundSince == 0 {
+		return
+	}
+	for _, e := range p.endpoints {
+		if probed := e.path.probedAt; probed >= paths.soundSince && s.now.Sub(probed) >= pathCheckTime {
+			s.restartHold(p)
+			return
+		}
+	}
+	if s.now.Sub(paths.flapProbed) < flapProbeInterval {
+		return
+	}
+	paths.flapProbed = s.now
+	probes := 0
+	for _, e := range p.endpoints {
+		if probes < maxFlapProbes && !e.unassigned && e.path.reaches(paths.lostAt) && s.probePath(e) {
+			probes++
+		}
+	}
+}
+
+// restartHold begins the time anew in which flapping paths must be sound.
+func (s *State) restartHold(p *pool) {
+	if p.paths.lost && p.paths.hold > 0 {
+		p.paths.lostAt, p.paths.soundSince = s.now, 0
+	}
+}
+
 // reviewLostPaths ends the loss once half of the endpoints that are assigned to this
 // instance are reached.
 func (s *State) reviewLostPaths(p *pool) {
@@ -280,7 +339,7 @@
 	if s.now.Sub(paths.soundSince) < paths.hold {
 		return
 	}
-	paths.lost, paths.foundAt = false, s.now
+	paths.lost, paths.damped, paths.foundAt = false, false, s.now
 	s.assignBrittleOwners(p)
 	s.count(CounterPaths, "found")
 	s.log("service_paths", "service", p.service, "lost", false, "reached", reached, "of", assigned,
@@ -288,9 +347,12 @@
 }
 
 // reachedEndpoints returns the number of endpoints of a service that this instance
-// reaches while it has lost paths.
+// uses while it has lost paths.
 func (s *State) reachedEndpoints(p *pool) int {
 	n := 0
+	if p.paths.damped {
+		return 0
+	}
 	for _, e := range p.endpoints {
 		if !e.Leaving && e.path.reaches(p.paths.lostAt) {
 			n++
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -263,7 +263,7 @@
 	if e.Leaving || s.now < e.suspendedUntil || s.now < e.pausedUntil || s.now < e.restUntil || s.now < e.withdrawnUntil {
 		return false
 	}
-	if paths := &s.pool(e.Service).paths; paths.lost && !e.path.reaches(paths.lostAt) {
+	if paths := &s.pool(e.Service).paths; paths.lost && (paths.damped || !e.path.reaches(paths.lostAt)) {
 		return false
 	}
 	return e.failures == 0 || e.ownRunning == 0
--- a/internal/scheduler/simulation_links_test.go
+++ b/internal/scheduler/simulation_links_test.go
@@ -44,6 +44,7 @@
 // simTry is a first try of a caller.
 type simTry struct {
 	at     Instant
+	from   *simInstance
 	mode   linkMode
 	served bool
 	reason Reason
@@ -128,7 +129,7 @@
 	if l == nil {
 		return
 	}
-	t := &simTry{at: f.now, mode: l.modes[i]}
+	t := &simTry{at: f.now, from: i, mode: l.modes[i]}
 	l.tries = append(l.tries, t)
 	l.byID[simRequest{i, id}] = t
 }
@@ -160,9 +161,19 @@
 // served returns the first tries of a time at instances with or without links, and
 // how many of them were served.
 func (l *simLinks) served(from, to Instant, cut bool) (served, all int, reasons map[Reason]int) {
+	return l.servedOf(from, to, func(t *simTry) bool { return (t.mode != linkWorks) == cut })
+}
+
+// servedAt returns the first tries of a time at some instances, and how many of them
+// were served.
+func (l *simLinks) servedAt(from, to Instant, at func(*simInstance) bool) (served, all int, reasons map[Reason]int) {
+	return l.servedOf(from, to, func(t *simTry) bool { return at(t.from) })
+}
+
+func (l *simLinks) servedOf(from, to Instant, counts func(*simTry) bool) (served, all int, reasons map[Reason]int) {
 	reasons = map[Reason]int{}
 	for _, t := range l.tries {
-		if t.at < from || t.at >= to || (t.mode != linkWorks) != cut {
+		if t.at < from || t.at >= to || !counts(t) {
 			continue
 		}
 		all++
@@ -263,6 +274,60 @@
 	}
 }
 
+// flap cuts the links of an instance again and again for d, each time for as long as
+// they work before.
+func (f *simulation) flap(i *simInstance, mode linkMode, period, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	f.cut(i, mode, period)
+	f.after(2*period, func() { f.flap(i, mode, period, d-2*period) })
+}
+
+// Guards against links that come and go: a connection that was refused just before they
+// work again is no end of its endpoint, and callers are served as elsewhere.
+func TestFlappingLinksAreNoEndsOfEndpoints(t *testing.T) {
+	t.Parallel()
+	for _, size := range []struct{ instances, engines, slots, seeds int }{{7, 12, 10, 10}, {40, 48, 6, 3}} {
+		for mode, modeName := range map[linkMode]string{linkHangs: "hang", linkResets: "reset"} {
+			t.Run(fmt.Sprintf("%d_%s", size.instances, modeName), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(size.seeds) {
+					f := newSimulation(size.instances, 1, size.engines, size.slots)
+					f.rand = rand.New(rand.NewPCG(seed, uint64(size.instances)))
+					f.links, f.crashes = newSimLinks(), newSimCrashes(noCrash)
+					f.advance(3 * time.Second)
+					load := 0.4 * float64(size.engines*size.slots) / simServiceTime.Seconds()
+					f.runLoad(load, time.Second)
+					begin := f.now
+					for n, i := range f.instances {
+						if n%5 < 2 {
+							f.flap(i, mode, time.Second, 12*time.Second)
+						}
+					}
+					f.runLoad(load, 12*time.Second)
+					f.advance(2 * time.Second)
+					flapping := func(i *simInstance) bool {
+						for n, other := range f.instances {
+							if other == i {
+								return n%5 < 2
+							}
+						}
+						return false
+					}
+					lost, lostAll, reasons := f.links.servedAt(begin.Add(linkContact), begin.Add(12*time.Second), flapping)
+					others, othersAll, _ := f.links.servedAt(begin.Add(linkContact), begin.Add(12*time.Second), func(i *simInstance) bool { return !flapping(i) })
+					t.Logf("seed %d: with links that come and go %d of %d served (%v), others %d of %d; %d ends of endpoints recorded",
+						seed, lost, lostAll, reasons, others, othersAll, f.links.crashRecords)
+					must.Eq(t, 0, f.links.crashRecords, must.Sprint(seed))
+					must.GreaterEq(t, 49*lostAll/50-10, lost, must.Sprint(seed))
+					must.GreaterEq(t, 49*othersAll/50-10, others, must.Sprint(seed))
+				}
+			})
+		}
+	}
+}
+
 // Guards against a request that crashes endpoints and goes on doing so because the
 // instances that see them end have lost their own links, so that they can't tell:
 // drawn schedules of cuts and pauses.
