--- a/internal/scheduler/path.go
+++ b/internal/scheduler/path.go
@@ -34,6 +34,9 @@
 	maxPathHold       = 8 * time.Second
 	flapProbeInterval = 200 * time.Millisecond
 	maxFlapProbes     = 3
+	// briefLoss is the time within which half of the paths are proved again if it was
+	// endpoints that failed, not the paths. Such a loss is no flap.
+	briefLoss = 250 * time.Millisecond
 )
 
 // endpointPath is what this instance knows about its own way to an endpoint.
@@ -62,8 +65,10 @@
 	// were proved since lostAt are used.
 	lost            bool
 	lostAt, foundAt Instant
-	hold            time.Duration
-	soundSince      Instant
+	// lostSince is when the loss began, however often lostAt was put off since.
+	lostSince  Instant
+	hold       time.Duration
+	soundSince Instant
 	// damped is set while the paths are lost and flapping and other instances reach the
 	// service: requests go through these only.
 	damped     bool
@@ -161,9 +166,6 @@
 		if !p.paths.lost && p.paths.heardAt < began {
 			s.losePaths(p)
 		}
-		if began >= p.paths.soundSince && p.paths.soundSince != 0 {
-			s.restartHold(p)
-		}
 		return
 	}
 	returned := p.paths.lost && !e.path.reaches(p.paths.lostAt)
@@ -191,7 +193,7 @@
 	} else {
 		paths.hold = 0
 	}
-	paths.lost, paths.lostAt, paths.soundSince = true, s.now, 0
+	paths.lost, paths.lostAt, paths.lostSince, paths.soundSince = true, s.now, s.now, 0
 	paths.damped = s.flapping(p)
 	for _, e := range p.endpoints {
 		e.path.failures, e.path.nextProbe = 0, s.now
@@ -290,11 +292,10 @@
 	if paths.hold == 0 || paths.soundSince == 0 {
 		return
 	}
-	for _, e := range p.endpoints {
-		if probed := e.path.probedAt; probed >= paths.soundSince && s.now.Sub(probed) >= pathCheckTime {
-			s.restartHold(p)
-			return
-		}
+	if s.now.Sub(paths.heardAt) > flapProbeInterval+pathCheckTime {
+		// None of them has accepted a connection. A single one that doesn't may be down.
+		paths.lostAt, paths.soundSince = s.now, 0
+		return
 	}
 	if s.now.Sub(paths.flapProbed) < flapProbeInterval {
 		return
@@ -308,13 +309,6 @@
 	}
 }
 
-// restartHold begins the time anew in which flapping paths must be sound.
-func (s *State) restartHold(p *pool) {
-	if p.paths.lost && p.paths.hold > 0 {
-		p.paths.lostAt, p.paths.soundSince = s.now, 0
-	}
-}
-
 // reviewLostPaths ends the loss once half of the endpoints that are assigned to this
 // instance are reached.
 func (s *State) reviewLostPaths(p *pool) {
@@ -336,14 +330,18 @@
 	if paths.soundSince == 0 {
 		paths.soundSince = s.now
 	}
-	if s.now.Sub(paths.soundSince) < paths.hold {
+	brief := paths.soundSince.Sub(paths.lostSince) < briefLoss
+	if !brief && s.now.Sub(paths.soundSince) < paths.hold {
 		return
 	}
-	paths.lost, paths.damped, paths.foundAt = false, false, s.now
+	paths.lost, paths.damped = false, false
+	if !brief {
+		paths.foundAt = s.now
+	}
 	s.assignBrittleOwners(p)
 	s.count(CounterPaths, "found")
 	s.log("service_paths", "service", p.service, "lost", false, "reached", reached, "of", assigned,
-		"after_ms", s.now.Sub(paths.lostAt).Milliseconds())
+		"after_ms", s.now.Sub(paths.lostSince).Milliseconds())
 }
 
 // reachedEndpoints returns the number of endpoints of a service that this instance
