Ends: a refused connection must be refused again some time later

Traced in the log of i10: as the cut began e11 refused a connection, and within the next milliseconds another endpoint, to which the link was not cut yet, accepted one; 50 ms later something was heard from the zone, and the end was concluded. The links to several endpoints are neither lost nor found at the same moment.

A second connection must be refused now, after the zone was heard of, and again another endpoint must accept one. One that is accepted, or answered, ends the suspicion.

The fixture of the unit tests answers the second connection like the first.

--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -82,7 +82,9 @@
 	// counts once the path to its zone is known to exist.
 	refusedAt Instant
 	// zoneConfirmed is set once something was heard from its zone after that.
+	// refusedBefore is when an earlier refusal was found not to be due to the own paths.
 	zoneConfirmed bool
+	refusedBefore Instant
 	// queriedAt is when other instances were last asked whether it has ended, askedBy
 	// holds the addresses of those that asked this one.
 	queriedAt Instant
--- a/internal/scheduler/endpoint_end.go
+++ b/internal/scheduler/endpoint_end.go
@@ -111,7 +111,7 @@
 		e.endedAt = 0
 	}
 	if sent > e.refusedAt {
-		e.refusedAt = 0
+		e.refusedAt, e.refusedBefore = 0, 0
 	}
 	e.unanswered = slices.DeleteFunc(e.unanswered, func(u unanswered) bool { return u.at < sent })
 	s.zoneReached(e.Zone, sent)
@@ -131,7 +131,7 @@
 			s.connectionRefused(e)
 		}
 	case ProbeAccepted:
-		e.askedBy = nil
+		e.askedBy, e.refusedBefore = nil, 0
 		for k := range e.unanswered {
 			e.unanswered[k].accepted = true
 		}
@@ -150,8 +150,9 @@
 	if !s.pool(e.Service).paths.lost {
 		s.doubtProcess(e)
 	}
+	second := e.refusedBefore != 0 && s.now.Sub(e.refusedBefore) <= pathProofWindow
 	if e.refusedAt == 0 || s.now.Sub(e.refusedAt) > pathProofWindow {
-		e.refusedAt, e.zoneConfirmed = s.now, !s.members.knownInZone(e.Zone)
+		e.refusedAt, e.zoneConfirmed = s.now, second || !s.members.knownInZone(e.Zone)
 	}
 	s.withUnanswered[e.incarnation()] = e
 	if !s.confirmRefusal(e) && e.endedAt == 0 {
@@ -201,7 +202,7 @@
 	if evidence != EntryRemoved {
 		e.endedAt = s.now
 	}
-	e.probing, e.refusedAt, e.zoneConfirmed = false, 0, false
+	e.probing, e.refusedAt, e.refusedBefore, e.zoneConfirmed = false, 0, 0, false
 	attributed := 0
 	for _, u := range e.unanswered {
 		if evidence == EntryRemoved && u.accepted || u.inDoubt && evidence != ConnectionRefused && evidence != EndReported {
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -62,6 +62,11 @@
 		case Refuse:
 			i.refused[e.ID] = e
 		case ProbeEndpoint:
+			if x := i.s.incarnations[incarnationOf(e.Endpoint)]; x != nil && x.refusedBefore == i.now && !i.pathsCut {
+				// The second of two connections: the endpoint is as it was.
+				i.step(EndpointProbed{Endpoint: e.Endpoint.ID, Started: e.Endpoint.Started, Result: ProbeRefused})
+				continue
+			}
 			i.probes = append(i.probes, e)
 		case ProbePath:
 			result := ProbeAccepted
--- a/internal/scheduler/path_test.go
+++ b/internal/scheduler/path_test.go
@@ -307,3 +307,42 @@
 	}
 	must.True(t, i.s.pool(service).paths.lost)
 }
+
+// Guards against an end that is concluded from a connection which was refused as a cut of
+// the own links began: the links to other endpoints were cut some milliseconds later.
+func TestRefusalAsACutBeginsIsNoEnd(t *testing.T) {
+	i := newServingInstance(t, 3, 4)
+	i.reportFor(nil)
+	i.advanceInContact(time.Second)
+	id := i.arrive(route("r", 0), func(q *Request) { q.Route.MaxAttempts = 1 })
+	i.end(id, Attempt{Outcome: Broken})
+	i.answerProbes(ProbeRefused)
+	i.pathsCut = true
+	i.advanceInContact(200 * time.Millisecond)
+	i.answerProbes(ProbeRefused)
+	i.advanceInContact(time.Second)
+	must.Len(t, 0, i.s.crashes.Ends(crash.RequestCause(uint64(id))))
+}
+
+// Guards against requests that go to endpoints, or are taken for other instances, while
+// the own paths are flapping.
+func TestFlappingPathsAreLeftOut(t *testing.T) {
+	i := newServingInstance(t, 3, 4)
+	i.reportFor(nil)
+	i.advanceInContact(time.Second)
+	for _, sound := range []time.Duration{1500 * time.Millisecond, 900 * time.Millisecond} {
+		i.loseAllPaths()
+		i.advanceInContact(time.Second)
+		i.pathsCut = false
+		i.advanceInContact(sound)
+	}
+	must.True(t, i.s.pool(service).paths.damped)
+	must.Eq(t, 0, i.s.reachedEndpoints(i.s.pool(service)))
+	id := i.arrive(route("r", 0), func(q *Request) { q.Forwarding = &Forwarding{} })
+	must.Eq(t, NoEndpoint, i.refusal(id).Reason)
+	i.forwards = nil
+	i.arrive(route("r", 0), nil)
+	must.Len(t, 1, i.forwards)
+	i.advanceInContact(2 * time.Second)
+	must.False(t, i.s.pool(service).paths.lost)
+}
--- a/internal/scheduler/refusal_proof.go
+++ b/internal/scheduler/refusal_proof.go
@@ -64,12 +64,23 @@
 	return false
 }
 
-// confirmRefusal concludes from a refused connection that an endpoint has ended, if
-// its zone was heard of since and the own paths are sound.
+// confirmRefusal concludes from refused connections that an endpoint has ended, if its
+// zone was heard of since and the own paths are sound. The paths to several endpoints
+// are not lost or found at the same moment, so a second connection some time later must
+// be refused too.
 func (s *State) confirmRefusal(e *endpoint) bool {
 	if !e.zoneConfirmed || !s.pathsSoundAt(e) {
 		return false
 	}
+	switch {
+	case e.probing:
+		return false
+	case e.refusedBefore == 0 || s.now.Sub(e.refusedBefore) > pathProofWindow:
+		e.refusedBefore, e.refusedAt = s.now, 0
+		e.probing, e.probedAt = true, s.now
+		s.emit(ProbeEndpoint{Endpoint: e.Endpoint})
+		return false
+	}
 	s.endpointEnded(e, ConnectionRefused)
 	return true
 }
