--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -42,6 +42,10 @@
 	maxBackoff     = 400 * time.Millisecond
 )
 
+// MaxSourceDelay bounds the time until an instance reads its third source while the
+// answers of two others are missing.
+const MaxSourceDelay = max(platformPollWait, relayPollWait) + 2*lateAfter
+
 // Update is the result of one read.
 type Update struct {
 	// ReadAt is the time, by WatcherConfig.Now, as of which the data is
