--- a/internal/scheduler/leaving_test.go
+++ b/internal/scheduler/draining_test.go
@@ -63,10 +63,10 @@
 		i.advance(time.Second)
 		i.reportFor(told)
 	}
-	must.Eq(t, []crash.Incarnation{process}, i.s.leavingReport())
+	must.Eq(t, []crash.Incarnation{process}, i.s.drainingReport())
 	i.advance(2 * time.Second)
 	i.reportFor(told)
-	must.SliceEmpty(t, i.s.leavingReport())
+	must.SliceEmpty(t, i.s.drainingReport())
 	i.advance(goneRetention)
-	must.MapEmpty(t, i.s.saidLeaving)
+	must.MapEmpty(t, i.s.knownDraining)
 }
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -108,9 +108,9 @@
 	// failureRate is the moving average of failed attempts.
 	failureRate float64
 	path        endpointPath
-	// restUntil is when the rest ends that the endpoint asked this instance for.
-	restUntil Instant
-	brittle   brittleEndpoint
+	// backoffUntil is when the backoff ends that the endpoint requested from this instance.
+	backoffUntil Instant
+	brittle      brittleEndpoint
 	// limit is the rate limit that the endpoint named, or nil if it named none.
 	limit *endpointLimit
 }
@@ -300,7 +300,7 @@
 		}
 		e.pausedUntil = s.now.Add(rejectionPause)
 		if a.RetryAfter > 0 {
-			s.restAsked(e, a.RetryAfter)
+			s.backoffRequested(e, a.RetryAfter)
 		}
 		return
 	case Failed:
--- a/internal/scheduler/history.go
+++ b/internal/scheduler/history.go
@@ -83,7 +83,7 @@
 // staysLeaving reports whether an entry is of a process that was leaving: such a
 // process does not return to service, whatever a copy says.
 func (s *State) staysLeaving(entry directory.Endpoint) bool {
-	if _, said := s.saidLeaving[incarnationOf(entry)]; said {
+	if _, said := s.knownDraining[incarnationOf(entry)]; said {
 		return true
 	}
 	if e := s.endpoints[entry.ID]; e != nil && e.incarnation() == incarnationOf(entry) {
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -73,7 +73,7 @@
 	}
 	s.endpointAnswered(r.endpoint, r.dispatched)
 	if ev.Leaving {
-		s.leavingStated(r.endpoint)
+		s.drainingStated(r.endpoint)
 	}
 	if !ev.BrittleMalformed {
 		s.brittlenessStated(r, ev.Brittle)
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -204,7 +204,7 @@
 	s.mergeLimits(r.Limits, r.Address)
 	s.applyPermitMessages(r)
 	s.mergeBrittle(r.Brittle, r.Address)
-	s.mergeLeaving(r.LeavingEndpoints, r.Address)
+	s.mergeDraining(r.LeavingEndpoints, r.Address)
 	s.applyDepartures(r.Departures, r.Address)
 	s.answerEndQueries(r.EndQueries, r.Address)
 	s.applyEnds(r.Ended)
@@ -270,7 +270,7 @@
 	s.members.byAddress[r.Address] = x
 	s.members.membershipChanged()
 	s.sendLimits([]string{r.Address}, s.limits)
-	s.sendLeaving(r.Address)
+	s.sendDraining(r.Address)
 	s.sendCrashes([]string{r.Address}, firstN(s.crashes.Suspects(), maxNoticedCrashes))
 	s.recordersChanged = true
 	s.log("instance_joined", "address", r.Address, "incarnation", r.Incarnation, "age_ms", r.Age.Milliseconds())
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -113,7 +113,7 @@
 		Paths:         s.pathReport(),
 		Brittle:       s.brittleReport(),
 
-		LeavingEndpoints: s.leavingReport(),
+		LeavingEndpoints: s.drainingReport(),
 		Departures:       s.departureReport(),
 	}
 	if s.table != nil {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -117,7 +117,7 @@
 	p.enqueue(r)
 	s.dispatchWaiting(p)
 	s.shedLimited(p)
-	s.shedResting(p)
+	s.refuseDuringBackoff(p)
 }
 
 // admit returns the reason to refuse a new request, or an empty one, and the
@@ -304,7 +304,7 @@
 	case reason == CrashSuspect || reason == StreamOriginUnknown || reason == StreamVersionGone:
 		// What the refusal is based on outlasts the caller's deadline.
 	case reason == EndpointsResting:
-		retry = s.jitteredRetryAfter(r, s.restWait(s.pool(r.Service)))
+		retry = s.jitteredRetryAfter(r, s.backoffWait(s.pool(r.Service)))
 	case reason == LimitReached:
 		retry = s.limitedRetryAfter(r)
 	default:
@@ -334,7 +334,7 @@
 		s.retryOrRefuse(r, e.ID, a)
 	}
 	s.dispatchWaiting(s.pool(e.Service))
-	s.shedResting(s.pool(e.Service))
+	s.refuseDuringBackoff(s.pool(e.Service))
 }
 
 // updateCrashEvidence records what an attempt shows about its endpoint and its
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -123,12 +123,13 @@
 	startedBehind     bool
 	// asksSent and grantsSent number the asks and grants of this instance.
 	asksSent, grantsSent uint64
-	// saidLeaving holds the processes that have said that they are about to leave, with
-	// when they were last listed; leavingOrder holds them in the order in which this
-	// instance learned of it, leavingCursor is the index of the next one to be reported.
-	saidLeaving   map[crash.Incarnation]Instant
-	leavingOrder  []crash.Incarnation
-	leavingCursor int
+	// knownDraining holds the processes that are draining by their answers or the reports
+	// of others, with when they were last listed; drainingOrder holds them in the order in
+	// which this instance learned of them, drainingCursor is the index of the next one to
+	// be reported.
+	knownDraining  map[crash.Incarnation]Instant
+	drainingOrder  []crash.Incarnation
+	drainingCursor int
 	// departures are the latest changes at the platform after which endpoints get no new
 	// requests, the oldest first.
 	departures []recentDeparture
@@ -159,7 +160,7 @@
 		history:        origin.NewHistory(),
 		zonesReached:   map[string]Instant{},
 		withUnanswered: map[crash.Incarnation]*endpoint{},
-		saidLeaving:    map[crash.Incarnation]Instant{},
+		knownDraining:  map[crash.Incarnation]Instant{},
 		removedLimits:  map[crash.Incarnation]removedLimit{},
 		gone:           map[crash.Incarnation]goneEndpoint{},
 		held:           map[string]heldEntry{},
@@ -228,7 +229,7 @@
 	s.expireLapsedEndpoints()
 	s.releaseHeldEntries()
 	s.expireReportedVersion()
-	s.expireLeaving()
+	s.expireDraining()
 	s.expireDepartures()
 	s.expireCrashes()
 	for _, p := range s.poolOrder {
