--- a/internal/directory/config_fetch_test.go
+++ b/internal/directory/config_fetch_test.go
@@ -52,7 +52,8 @@
 	own.Apply(listing)
 	must.Eq(t, 0, own.confirmedAt)
 	must.Eq(t, 7, own.announcedConfig)
-	for range 10 {
+	// The relay answers polls at once while the configuration is being fetched.
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
 		u := w.read(t.Context())
 		own.Apply(u)
 		if len(u.Batch.Changes) > 0 {
--- a/internal/directory/progress.go
+++ b/internal/directory/progress.go
@@ -9,8 +9,9 @@
 
 // progress tells whether an answer is being received.
 type progress struct {
-	// at is when something last arrived, in Unix nanoseconds, or zero.
-	at atomic.Int64
+	// at is when something last arrived, or nil. It keeps the reading of the monotonic
+	// clock: the time of day may step.
+	at atomic.Pointer[time.Time]
 	// extend puts off the end of the call.
 	extend func()
 }
@@ -37,7 +38,8 @@
 func (r progressReader) Read(b []byte) (int, error) {
 	n, err := r.Reader.Read(b)
 	if n > 0 {
-		r.progress.at.Store(time.Now().UnixNano())
+		now := time.Now()
+		r.progress.at.Store(&now)
 		r.progress.extend()
 	}
 	return n, err
@@ -46,7 +48,7 @@
 // within reports whether something arrived within a time.
 func (p *progress) within(d time.Duration) bool {
 	at := p.at.Load()
-	return at != 0 && time.Since(time.Unix(0, at)) < d
+	return at != nil && time.Since(*at) < d
 }
 
 // stallTimeout returns a context that ends after timeout, or once an answer that is
--- a/internal/directory/round_test.go
+++ b/internal/directory/round_test.go
@@ -72,7 +72,8 @@
 		w.round = &round{primary: platformAddress, lateAt: w.cfg.Now()}
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		p.progress.at.Store(time.Now().UnixNano())
+		now := time.Now()
+		p.progress.at.Store(&now)
 		w.startPolls(ctx)
 		must.False(t, w.becomesLate())
 		must.MapLen(t, 1, w.polls)
