--- a/internal/scheduler/departure_test.go
+++ b/internal/scheduler/departure_test.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/directory"
@@ -65,3 +67,27 @@
 	i.advance(departureRetention + 2*TickInterval)
 	must.SliceEmpty(t, i.s.departureReport())
 }
+
+// Guards against announcements to all instances of a large system.
+func TestDeparturesAreAnnouncedWithinTheZone(t *testing.T) {
+	i := newServingInstance(t, 2, 4)
+	for n := range 12 {
+		zone := "a"
+		if n >= 4 {
+			zone = "b"
+		}
+		i.step(PeerReported{Report: Report{
+			Incarnation: uint64(100 + n), Sequence: 1, Address: fmt.Sprintf("10.9.0.%d:1", n), Zone: zone, Age: time.Minute,
+		}})
+	}
+	i.advance(assignmentInterval + TickInterval)
+	i.reports = nil
+	i.applyChanges(directory.Change{EndpointID: "e1", Revision: 4})
+	for _, r := range i.reports {
+		if len(r.Report.Departures) > 0 {
+			must.Len(t, 4, r.To)
+			return
+		}
+	}
+	t.Fatal("not announced")
+}
--- a/internal/scheduler/path_test.go
+++ b/internal/scheduler/path_test.go
@@ -346,3 +346,64 @@
 	i.advanceInContact(2 * time.Second)
 	must.False(t, i.s.pool(service).paths.lost)
 }
+
+// Guards against endpoints that are left out for seconds because some of them failed:
+// that is no flap of the own paths, which are proved at once.
+func TestFailingEndpointsAreNoFlap(t *testing.T) {
+	i := newServingInstance(t, 3, 4)
+	i.reportFor(nil)
+	paths := &i.s.pool(service).paths
+	for range 3 {
+		i.advanceInContact(time.Second)
+		paths.checkedAt = i.now
+		for _, id := range []RequestID{i.arrive(route("r", 0), nil), i.arrive(route("r", 0), nil)} {
+			i.end(id, Attempt{Outcome: NotSent})
+		}
+		must.Eq(t, i.now, paths.lostSince)
+		i.advanceInContact(100 * time.Millisecond)
+		must.False(t, paths.lost)
+	}
+}
+
+// Guards against flapping paths that are used although they were cut again while they had
+// to be sound, which only a few connections show.
+func TestFlappingPathsMustBeSoundWithoutABreak(t *testing.T) {
+	i := newServingInstance(t, 12, 4)
+	i.reportFor(nil)
+	i.advanceInContact(time.Second)
+	paths := &i.s.pool(service).paths
+	for range 2 {
+		i.loseAllPaths()
+		i.advanceInContact(1100 * time.Millisecond)
+		i.pathsCut = false
+		for paths.lost && (paths.hold == 0 || paths.soundSince == 0) {
+			i.advanceInContact(TickInterval)
+		}
+		i.advanceInContact(200 * time.Millisecond)
+	}
+	must.True(t, paths.lost)
+	i.pathsCut = true
+	i.advanceInContact(300 * time.Millisecond)
+	i.pathsCut = false
+	i.advanceInContact(700 * time.Millisecond)
+	must.True(t, paths.lost)
+	i.advanceInContact(3 * time.Second)
+	must.False(t, paths.lost)
+}
+
+// Guards against a suspicion that outlives a connection which the endpoint accepted.
+func TestAcceptedConnectionEndsTheSuspicion(t *testing.T) {
+	i := newServingInstance(t, 3, 4)
+	i.reportFor(nil)
+	i.advanceInContact(time.Second)
+	id := i.arrive(route("r", 0), func(q *Request) { q.Route.MaxAttempts = 1 })
+	e := i.s.endpoints[i.dispatched[id].Endpoint.ID]
+	i.end(id, Attempt{Outcome: Broken})
+	i.answerProbes(ProbeRefused)
+	i.pathsCut = true
+	i.advanceInContact(200 * time.Millisecond)
+	must.Positive(t, e.refusedBefore)
+	must.Len(t, 1, i.probes)
+	i.answerProbes(ProbeAccepted)
+	must.Eq(t, 0, e.refusedBefore)
+}
