Gateway: the test of confirmed crashes waits for both refused connections

It waits for both now and for the connections to other endpoints that follow each of them, and expects as before that the fifth request is refused and four reached an endpoint.

--- a/internal/gateway/probe_test.go
+++ b/internal/gateway/probe_test.go
@@ -31,7 +31,12 @@
 			break
 		}
 		sent++
-		eventually(t, func() bool { return s.handler.cfg.Counters.Value("routed_probes_total", "refused") == int64(sent) })
+		// Two connections to the endpoint are refused, and two others are accepted after
+		// each of them.
+		eventually(t, func() bool {
+			return s.handler.cfg.Counters.Value("routed_probes_total", "refused") == 2*int64(sent) &&
+				s.handler.cfg.Counters.Value("routed_path_probes_total", "accepted") >= 4*int64(sent)
+		})
 	}
 	must.Eq(t, http.StatusServiceUnavailable, status)
 	must.Len(t, 4, s.requests())
