Streams: instances that read further software announce it to the others

Cause: an instance records the origins of its streams elsewhere only once it has read that a second version serves.

Change: software that a service begins to run beside another is announced together with departures, repeated in complete reports for 2 s. From then on an instance records, including the streams in progress. An older build ignores the field.

--- a/internal/gossip/codec_origin.go
+++ b/internal/gossip/codec_origin.go
@@ -26,6 +26,9 @@
 			Attempt: uint64(a.Attempt), Recorded: a.Recorded, Software: uint64(a.Software), Alone: a.Alone,
 		})
 	}
+	for _, x := range r.FurtherSoftware {
+		m.FurtherSoftware = append(m.FurtherSoftware, &gossippb.ServiceSoftware{Service: x.Service, Software: uint64(x.Software)})
+	}
 }
 
 // decodeOrigins adds what a datagram says about the origin of streams.
@@ -47,4 +50,7 @@
 			Alone: a.GetAlone(),
 		})
 	}
+	for _, x := range m.GetFurtherSoftware() {
+		r.FurtherSoftware = append(r.FurtherSoftware, scheduler.ServiceSoftware{Service: x.GetService(), Software: origin.Software(x.GetSoftware())})
+	}
 }
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -21,8 +21,9 @@
 // NewHistory returns an empty History.
 func NewHistory() *History { return &History{services: map[string]map[Software]seen{}} }
 
-// Listed records that an endpoint of a service is listed with some software.
-func (h *History) Listed(service string, software Software, now Time) {
+// Listed records that an endpoint of a service is listed with some software. It
+// reports whether this is a further one: new here, of a service that has run others.
+func (h *History) Listed(service string, software Software, now Time) (further bool) {
 	if !h.hasBegun {
 		h.hasBegun, h.begun = true, now
 	}
@@ -34,9 +35,11 @@
 	at, known := all[software]
 	if !known {
 		at.first = now
+		further = len(all) > 0
 	}
 	at.last = now
 	all[software] = at
+	return further
 }
 
 // Several reports whether the services have run more than one software within a
--- a/internal/scheduler/departure.go
+++ b/internal/scheduler/departure.go
@@ -37,21 +37,26 @@
 	s.departures = append(s.departures, recentDeparture{Departure{process, s.platform.era, revision, removed}, s.now})
 }
 
-// announceDepartures tells the instances that use the same endpoints what has been read
-// from the platform since a number of departures: their own reads may be late.
-func (s *State) announceDepartures(known int) {
-	announced := s.departures[min(known, len(s.departures)):]
-	if to := s.departureReceivers(); len(announced) > 0 && len(to) > 0 {
-		report := s.partialReport()
-		for _, d := range firstN(announced, maxAnnouncedDepartures) {
-			report.Departures = append(report.Departures, d.Departure)
-		}
-		s.emit(SendReport{To: to, Report: report})
+// announceRead tells the instances that use the same endpoints what has been read from
+// the platform since a number of departures and of further software: their own reads may
+// be late.
+func (s *State) announceRead(departures, software int) {
+	departed := s.departures[min(departures, len(s.departures)):]
+	further := s.furtherSoftware[min(software, len(s.furtherSoftware)):]
+	to := s.announcementReceivers()
+	if len(departed)+len(further) == 0 || len(to) == 0 {
+		return
+	}
+	report := s.partialReport()
+	for _, d := range firstN(departed, maxAnnouncedDepartures) {
+		report.Departures = append(report.Departures, d.Departure)
 	}
+	report.FurtherSoftware = s.furtherSoftwareReport(further)
+	s.emit(SendReport{To: to, Report: report})
 }
 
-// departureReceivers returns the members of the own zone, or all in a small system.
-func (s *State) departureReceivers() []string {
+// announcementReceivers returns the members of the own zone, or all in a small system.
+func (s *State) announcementReceivers() []string {
 	if !s.largeSystem() {
 		return s.members.addresses()
 	}
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -177,7 +177,7 @@
 		e.withdrawnUntil = 0
 	}
 	e.software = origin.SoftwareOf(entry.Service, entry.Version)
-	s.history.Listed(entry.Service, e.software, origin.Time(s.now))
+	s.softwareListed(entry.Service, e.software)
 	if added {
 		s.restoreLimit(e)
 	}
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -275,6 +275,8 @@
 	LeavingEndpoints []crash.Incarnation
 	// Departures lists what the sender has lately read from the platform, or heard.
 	Departures []Departure
+	// FurtherSoftware lists what services have lately begun to run beside other software.
+	FurtherSoftware []ServiceSoftware
 	// Asks and Grants concern the permits for endpoints with rate limits.
 	Asks   []PermitAsk
 	Grants []PermitGrant
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -206,6 +206,7 @@
 	s.mergeBrittle(r.Brittle, r.Address)
 	s.mergeDraining(r.LeavingEndpoints, r.Address)
 	s.applyDepartures(r.Departures, r.Address)
+	s.applyFurtherSoftware(r.FurtherSoftware, r.Address)
 	s.answerEndQueries(r.EndQueries, r.Address)
 	s.applyEnds(r.Ended)
 	s.mergeOrigins(r.Origins)
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -115,10 +115,10 @@
 		s.historyReplaced(u)
 	}
 	s.reading = directoryReading{cmp.Or(u.From, platformSource), readAt}
-	departuresBefore := len(s.departures)
+	departuresBefore, softwareBefore := len(s.departures), len(s.furtherSoftware)
 	s.applyBatch(u)
 	if u.From == "" {
-		s.announceDepartures(departuresBefore)
+		s.announceRead(departuresBefore, softwareBefore)
 	}
 	s.emit(ConfigConfirmed{At: s.platform.confirmedAt})
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -83,7 +83,7 @@
 	if len(withLoads) > 0 {
 		s.emit(SendReport{To: withLoads, Report: report})
 	}
-	report.Loads, report.WithoutLoads, report.Departures = nil, true, nil
+	report.Loads, report.WithoutLoads, report.Departures, report.FurtherSoftware = nil, true, nil, nil
 	if len(newRemote) > 0 {
 		s.emit(SendReport{To: newRemote, Report: report})
 	}
@@ -115,6 +115,7 @@
 
 		LeavingEndpoints: s.drainingReport(),
 		Departures:       s.departureReport(),
+		FurtherSoftware:  s.furtherSoftwareReport(s.furtherSoftware),
 	}
 	if s.table != nil {
 		report.Version = s.table.Version()
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -133,6 +133,9 @@
 	// departures are the latest changes at the platform after which endpoints get no new
 	// requests, the oldest first.
 	departures []recentDeparture
+	// furtherSoftware is the software that services have lately begun to run beside
+	// another one, the oldest first.
+	furtherSoftware []recentSoftware
 	// forwarded is the number of requests of other instances in progress here.
 	forwarded int
 	leaving   bool
@@ -231,6 +234,7 @@
 	s.expireReportedVersion()
 	s.expireDraining()
 	s.expireDepartures()
+	s.expireFurtherSoftware()
 	s.expireCrashes()
 	for _, p := range s.poolOrder {
 		s.reviewPaths(p)
