Quotas: the reserve for urgent requests does not grow with the burst

Ruled out: a part of the quota (quota_part_percent=100 in all), unreachable instances (195 known). Change: the reserve is a fraction of one second of the rate at most. Result: TestReserveDoesNotGrowWithTheBurst fails before, passes. Where burst and rate are equal nothing changes.

--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -18,6 +18,10 @@
 	minReserve        = 0.08
 	priorityReserve   = 0.5
 	reservePriorities = 2
+	// maxReserveSeconds limits the bucket of which a reserve is a fraction, in seconds
+	// of its rate. What urgent requests may need until the bucket is filled again does
+	// not grow with its size.
+	maxReserveSeconds = 1.0
 	// initialLevel is the fraction of a full bucket with which instances begin
 	// when all of them restart, since such an outage lasts longer than the bucket
 	// takes to fill.
@@ -60,7 +64,7 @@
 		return 0
 	}
 	fraction := minReserve + priorityReserve*float64(min(priority, reservePriorities))/reservePriorities
-	return fraction * b.burst * b.share * min(1, cost/b.meanCost)
+	return fraction * min(b.burst, maxReserveSeconds*b.rate) * b.share * min(1, cost/b.meanCost)
 }
 
 // recordCost adds the cost of a received request to the mean, whether or not
--- a/internal/scheduler/quota_test.go
+++ b/internal/scheduler/quota_test.go
@@ -332,3 +332,29 @@
 	r.Tokens = 7
 	must.Eq(t, 7, r.cost())
 }
+
+// quotaInstance returns an instance with one organisation whose bucket has a level.
+func quotaInstance(t *testing.T, rate, burst, level float64) (*instance, *routing.Organisation) {
+	i := newInstance(t, testConfig())
+	config := routing.Config{Version: 1, Organisations: []routing.Organisation{
+		{Name: "org", Quota: routing.Quota{RatePerSecond: rate, Burst: burst, InTokens: true, DefaultTokens: 200}},
+		{Name: "other", Quota: routing.Quota{RatePerSecond: 1e9, Burst: 1e9, InTokens: true, DefaultTokens: 200}},
+	}}
+	i.configure(config)
+	i.applyChanges(engines(4, 100_000)...)
+	i.s.usageReport()
+	i.s.quotas["org"].level, i.s.quotas["other"].level = level, 1e9
+	return i, &config.Organisations[0]
+}
+
+// Load pattern: a burst takes half of a large bucket, which still holds two seconds of
+// the organisation's rate. Guards against a refusal of less urgent requests that are within
+// the quota.
+func TestReserveDoesNotGrowWithTheBurst(t *testing.T) {
+	for seconds, admitted := range map[float64]bool{2: true, 1: true, 0.7: true, 0.5: false} {
+		i, org := quotaInstance(t, testRate, 4*testRate, seconds*testRate)
+		i.arrive(route("r", 0), func(q *Request) { q.Organisation, q.Tokens = org, 3000 })
+		id := i.arrive(route("low", 2), func(q *Request) { q.Organisation, q.Tokens = org, 3000 })
+		must.Eq(t, admitted, i.running(id), must.Sprint(seconds))
+	}
+}
