Quotas: the mean cost of requests is learned over all organisations

Cause: the reserve of a request is in proportion to its cost relative to the mean of its organisation at this instance, a moving average of 50 requests that starts with the first. Change: one mean over all organisations, a plain mean at first. Result: TestFirstCheapRequestOfAnOrganisationIsAdmitted fails before, passes.

--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -26,8 +26,8 @@
 	// when all of them restart, since such an outage lasts longer than the bucket
 	// takes to fill.
 	initialLevel = 0.5
-	// costWeight is the weight of a new sample in the mean cost.
-	costWeight = 0.02
+	// minCostWeight is the least weight of a new sample in the mean cost.
+	minCostWeight = 0.02
 )
 
 // bucket is this instance's view of an organisation's token bucket, which all
@@ -41,8 +41,6 @@
 	used float64
 	// share is the fraction of the quota that the reachable instances may use.
 	share float64
-	// meanCost is the moving average of the cost per request.
-	meanCost float64
 	// levelSynced is set once the level was taken over from an instance that was
 	// past its startup period.
 	levelSynced bool
@@ -58,22 +56,33 @@
 
 // reserve returns the level that a request must leave for more urgent ones, so
 // that urgent requests are served first when an organisation exceeds its quota.
-// A request of low cost leaves little.
-func (b *bucket) reserve(priority int, cost float64) float64 {
-	if b.meanCost <= 0 {
-		return 0
-	}
+// relativeCost is the cost of the request relative to that of others: one of low cost
+// leaves little.
+func (b *bucket) reserve(priority int, relativeCost float64) float64 {
 	fraction := minReserve + priorityReserve*float64(min(priority, reservePriorities))/reservePriorities
-	return fraction * min(b.burst, maxReserveSeconds*b.rate) * b.share * min(1, cost/b.meanCost)
+	return fraction * min(b.burst, maxReserveSeconds*b.rate) * b.share * min(1, relativeCost)
+}
+
+// costMean is the mean cost of the requests that an instance received, in one unit,
+// whether or not they were admitted: a plain mean at first, then a moving average. It is
+// that of all organisations, since in a large system an instance receives few requests
+// of each.
+type costMean struct {
+	samples int
+	mean    float64
+}
+
+func (c *costMean) add(cost float64) {
+	c.samples++
+	c.mean += max(minCostWeight, 1/float64(c.samples)) * (cost - c.mean)
 }
 
-// recordCost adds the cost of a received request to the mean, whether or not
-// the request is admitted.
-func (b *bucket) recordCost(cost float64) {
-	if b.meanCost == 0 {
-		b.meanCost = cost
+// relative returns a cost relative to the mean.
+func (c *costMean) relative(cost float64) float64 {
+	if c.mean <= 0 {
+		return 1
 	}
-	b.meanCost += costWeight * (cost - b.meanCost)
+	return cost / c.mean
 }
 
 func (b *bucket) debit(cost float64) {
@@ -126,16 +135,26 @@
 		return 0
 	}
 	cost := r.cost()
-	b.recordCost(cost)
+	if r.Organisation.Quota.InTokens {
+		s.tokenCosts.add(cost)
+	}
 	s.members.demand.add(cost)
 	b.refill(s.now, s.members.quotaShare(s.now))
-	missing := b.reserve(r.Route.Priority, cost) - b.level
+	missing := b.reserve(r.Route.Priority, s.relativeCost(r)) - b.level
 	if missing < 0 {
 		return 0
 	}
 	return time.Duration(missing/(b.rate*b.share)*float64(time.Second)) + time.Millisecond
 }
 
+// relativeCost returns the cost of a request relative to the mean of those in its unit.
+func (s *State) relativeCost(r *request) float64 {
+	if !r.Organisation.Quota.InTokens {
+		return 1
+	}
+	return s.tokenCosts.relative(r.cost())
+}
+
 func (s *State) charge(r *request) {
 	if r.Organisation == nil {
 		return
--- a/internal/scheduler/quota_test.go
+++ b/internal/scheduler/quota_test.go
@@ -358,3 +358,18 @@
 		must.Eq(t, admitted, i.running(id), must.Sprint(seconds))
 	}
 }
+
+// Load pattern: many instances, each of which receives a request of an organisation now
+// and then. Guards against a cheap request that is taken for one of the mean cost because
+// it is the first of its organisation at this instance.
+func TestFirstCheapRequestOfAnOrganisationIsAdmitted(t *testing.T) {
+	i, org := quotaInstance(t, testRate, testRate, 0.2*testRate)
+	other := &routing.Organisation{Name: "other", Quota: routing.Quota{RatePerSecond: 1e9, Burst: 1e9, InTokens: true}}
+	for n := range 20 {
+		i.arrive(route("r", 0), func(q *Request) { q.Organisation, q.Tokens = other, 200 + n%4*1500 })
+	}
+	cheap := i.arrive(route("cheap", 2), func(q *Request) { q.Organisation, q.Tokens = org, 200 })
+	must.True(t, i.running(cheap))
+	mean := i.arrive(route("mean", 2), func(q *Request) { q.Organisation, q.Tokens = org, 3000 })
+	must.False(t, i.running(mean))
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -59,9 +59,11 @@
 	// produce equal effects.
 	poolOrder []*pool
 	requests  map[RequestID]*request
-	// quotas holds the quota buckets by organisation name.
-	quotas  map[string]*bucket
-	members members
+	// quotas holds the quota buckets by organisation name. tokenCosts is the mean cost of
+	// requests whose cost is in tokens.
+	quotas     map[string]*bucket
+	tokenCosts costMean
+	members    members
 	// incarnations holds the listed endpoints by incarnation.
 	incarnations map[crash.Incarnation]*endpoint
 	// crashes holds the endpoints that ended under requests. withUnanswered holds
