Placement: endpoints are shared by few instances also where instances are many

Cause (finding of the trial, verified): beyond 8 sharers of an endpoint no load changes were exchanged. At 195 instances before 78 engines there are 18, so each placed by its own counts and reports seconds old.

Change: an endpoint has eight local sharers at most, more only where instances would use fewer than two; the remote ones as before (5 here); all of them exchange loads. Where the number is limited each instance gets equally many endpoints. Services with so few endpoints that 40 sharers are exceeded are as before.

--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -25,10 +25,8 @@
 	meanLocalAssignments  = 5
 	meanRemoteAssignments = 2
 	// maxSharers is the number of instances up to which those that share an
-	// endpoint send each other every load change. It is slightly above the sum of
-	// local and remote assignments. A request then costs at most sixteen load
-	// updates.
-	maxSharers = 8
+	// endpoint send each other every load change.
+	maxSharers = 40
 )
 
 // candidate is an instance to which an endpoint may be assigned.
@@ -110,17 +108,21 @@
 // fewer of other zones.
 func (s *State) assignSubset() {
 	type group struct{ service, zone string }
-	inZone, all := map[group]int{}, map[string]int{}
+	inZone, all := map[group][]*endpoint{}, map[string]int{}
 	for _, e := range s.endpoints {
-		inZone[group{e.Service, e.Zone}]++
+		inZone[group{e.Service, e.Zone}] = append(inZone[group{e.Service, e.Zone}], e)
 		all[e.Service]++
 	}
+	local := map[string][]string{}
+	for g, endpoints := range inZone {
+		inside, outside := splitByZone(s.reachableInstances, g.zone)
+		assignLocal(local, endpoints, inside, remoteSharers(len(outside), all[g.service]-len(endpoints)))
+	}
 	for _, e := range s.endpoints {
-		inside, outside := splitByZone(s.reachableInstances, e.Zone)
-		here := inZone[group{e.Service, e.Zone}]
-		local := topByHash(e.ID, inside, ceilDiv(meanLocalAssignments*len(inside), here))
-		remote := topByHash(e.ID, outside, ceilDiv(meanRemoteAssignments*len(outside), all[e.Service]-here))
-		sharers := append(local, remote...)
+		_, outside := splitByZone(s.reachableInstances, e.Zone)
+		elsewhere := all[e.Service] - len(inZone[group{e.Service, e.Zone}])
+		local := local[e.ID]
+		sharers := slices.Concat(local, topByHash(e.ID, outside, remoteSharers(len(outside), elsewhere)))
 		e.preferred = slices.Contains(local, s.cfg.Address)
 		e.unassigned = !slices.Contains(sharers, s.cfg.Address)
 		e.sharers = nil
--- a/internal/scheduler/quota_test.go
+++ b/internal/scheduler/quota_test.go
@@ -366,7 +366,7 @@
 	i, org := quotaInstance(t, testRate, testRate, 0.2*testRate)
 	other := &routing.Organisation{Name: "other", Quota: routing.Quota{RatePerSecond: 1e9, Burst: 1e9, InTokens: true}}
 	for n := range 20 {
-		i.arrive(route("r", 0), func(q *Request) { q.Organisation, q.Tokens = other, 200 + n%4*1500 })
+		i.arrive(route("r", 0), func(q *Request) { q.Organisation, q.Tokens = other, 200+n%4*1500 })
 	}
 	cheap := i.arrive(route("cheap", 2), func(q *Request) { q.Organisation, q.Tokens = org, 200 })
 	must.True(t, i.running(cheap))
