Quotas: instances that start together admit what one system of any size may

While 195 discover each other each admits a seventh of the quota, and with each member that it hears of its level is raised again to half of what all may use, although that was spent. Change: until 70 ms have passed without a new member, it assumes 400; then what it and the others that start have discovered. The initial level is granted once, as the share grows. What an instance only assumes it does not report.

--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -23,8 +23,12 @@
 	memberRetention = 45 * time.Second
 	// minAssumedInstances is the least number of instances that a starting
 	// instance assumes while it has received reports only from instances that are
-	// starting too, if its seeds name others.
+	// starting too, if its seeds name others. maxAssumedInstances is what it assumes
+	// until discoveryPause has passed without a new member: it may be one of as many
+	// that start at once.
 	minAssumedInstances = 8
+	maxAssumedInstances = 400
+	discoveryPause      = 70 * time.Millisecond
 	// startupPeriod is the age up to which an instance may not know of others
 	// that it can't reach.
 	startupPeriod = 10 * time.Second
@@ -74,10 +78,13 @@
 	// contacted is set once a report from another instance was received.
 	contacted bool
 	// reportedInstances is the highest number of instances reported by an older
-	// instance while this one was starting up.
-	reportedInstances int
-	sampleOffset      int
-	demand            demand
+	// instance while this one was starting up, startingInstances that known to others
+	// that were starting too.
+	reportedInstances, startingInstances int
+	// joinedAt is when the latest member was discovered.
+	joinedAt     Instant
+	sampleOffset int
+	demand       demand
 	// demandShares holds each instance's share of the total demand, by address,
 	// as of the last time all known instances were reachable. Instances that are
 	// partitioned from each other thus divide a quota by the same figures.
@@ -156,22 +163,41 @@
 // instanceCount returns the number of instances that may be using their share
 // of a common allowance: this instance, its members and the seeds without
 // contact. If the seeds name other instances, it is during startup at least the
-// number that older instances have reported, or minAssumedInstances if none
-// has.
+// number that older instances have reported. If none has, it is maxAssumedInstances while
+// others are being discovered, and then at least minAssumedInstances and what the others
+// that start have discovered.
 func (m *members) instanceCount(now Instant) int {
+	n := m.knownInstances()
+	switch {
+	case !m.startingUp(now) || m.singleInstance():
+		return n
+	case m.reportedInstances > 0:
+		return max(n, m.reportedInstances)
+	case !m.contacted || now.Sub(m.joinedAt) < discoveryPause:
+		return max(n, maxAssumedInstances)
+	}
+	return max(n, minAssumedInstances, m.startingInstances)
+}
+
+// reportedCount returns the number of instances that this one reports to others: not
+// what it only assumes.
+func (m *members) reportedCount(now Instant) int {
+	if m.startingUp(now) && m.reportedInstances == 0 {
+		return m.knownInstances()
+	}
+	return m.instanceCount(now)
+}
+
+// knownInstances returns the number of this instance, its members and the seeds without
+// contact.
+func (m *members) knownInstances() int {
 	n := 1 + len(m.byAddress)
 	for _, seed := range m.seeds {
 		if seed != m.self && m.byAddress[seed] == nil {
 			n++
 		}
 	}
-	if !m.startingUp(now) || m.singleInstance() {
-		return n
-	}
-	if m.reportedInstances == 0 {
-		return max(n, minAssumedInstances)
-	}
-	return max(n, m.reportedInstances)
+	return n
 }
 
 func (m *members) startingUp(now Instant) bool { return now.Sub(m.started) <= startupPeriod }
@@ -240,8 +266,12 @@
 		s.log("instance_reached", "address", r.Address, "silent_ms", s.now.Sub(x.lastContact).Milliseconds())
 	}
 	m.contacted = true
-	if r.Age > startupPeriod && m.startingUp(s.now) {
-		m.reportedInstances = max(m.reportedInstances, r.InstanceCount)
+	if m.startingUp(s.now) {
+		if r.Age > startupPeriod {
+			m.reportedInstances = max(m.reportedInstances, r.InstanceCount)
+		} else {
+			m.startingInstances = max(m.startingInstances, r.InstanceCount)
+		}
 		m.shareStale = true
 	}
 	if !m.reachableForQuota(x, s.now) {
@@ -269,6 +299,7 @@
 		used: map[string]float64{}, startedLater: r.Age < s.now.Sub(s.started), established: r.Age > startupPeriod,
 	}
 	s.members.byAddress[r.Address] = x
+	s.members.joinedAt = s.now
 	s.members.membershipChanged()
 	s.sendLimits([]string{r.Address}, s.limits)
 	s.sendDraining(r.Address)
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -41,6 +41,8 @@
 	used float64
 	// share is the fraction of the quota that the reachable instances may use.
 	share float64
+	// grantedShare is the share of which the initial level was granted.
+	grantedShare float64
 	// levelSynced is set once the level was taken over from an instance that was
 	// past its startup period.
 	levelSynced bool
@@ -54,6 +56,16 @@
 	b.refilledAt = now
 }
 
+// refill refills a bucket at the share of the reachable instances. While all of them are
+// starting, the initial level grows with that share: each part of it is granted once.
+func (s *State) refill(b *bucket) {
+	b.refill(s.now, s.members.quotaShare(s.now))
+	if b.share > b.grantedShare && s.members.onlyStartingMembers(s.now) {
+		b.level = min(b.level+initialLevel*b.burst*(b.share-b.grantedShare), b.burst*b.share)
+		b.grantedShare = b.share
+	}
+}
+
 // reserve returns the level that a request must leave for more urgent ones, so
 // that urgent requests are served first when an organisation exceeds its quota.
 // relativeCost is the cost of the request relative to that of others: one of low cost
@@ -99,13 +111,15 @@
 			b = &bucket{refilledAt: s.now}
 			s.quotas[o.Name] = b
 		}
-		share := s.members.quotaShare(s.now)
-		b.refill(s.now, share)
+		s.refill(b)
 		b.rate = o.Quota.RatePerSecond
 		b.burst = max(o.Quota.Burst, b.rate*TickInterval.Seconds())
 		b.level = min(b.level, b.burst)
-		if added && s.members.onlyStartingMembers(s.now) {
-			b.level = initialLevel * b.burst * share
+		if added {
+			b.grantedShare = b.share
+			if s.members.onlyStartingMembers(s.now) {
+				b.level = initialLevel * b.burst * b.share
+			}
 		}
 	}
 }
@@ -139,7 +153,7 @@
 		s.tokenCosts.add(cost)
 	}
 	s.members.demand.add(cost)
-	b.refill(s.now, s.members.quotaShare(s.now))
+	s.refill(b)
 	missing := b.reserve(r.Route.Priority, s.relativeCost(r)) - b.level
 	if missing < 0 {
 		return 0
@@ -185,7 +199,7 @@
 	}
 	for _, o := range s.table.Organisations() {
 		if b := s.quotas[o.Name]; b != nil && b.rate > 0 {
-			b.refill(s.now, s.members.quotaShare(s.now))
+			s.refill(b)
 			out = append(out, Usage{Organisation: o.Name, Used: b.used, Level: b.level})
 		}
 	}
@@ -201,7 +215,7 @@
 		if b == nil {
 			continue
 		}
-		b.refill(s.now, s.members.quotaShare(s.now))
+		s.refill(b)
 		last, known := m.used[u.Organisation]
 		m.used[u.Organisation] = u.Used
 		switch {
@@ -210,9 +224,7 @@
 			// The level is limited to a share until all instances are reachable.
 			b.levelSynced = b.share >= 1
 		case !known && !m.established && s.members.startingUp(s.now):
-			// Both instances started with the level of their own share; the level is
-			// now that of their joint share.
-			b.level = max(b.level, initialLevel*b.burst*b.share)
+			// The level that both start with was granted with the share.
 			b.debit(u.Used)
 		case newlyConnected, !known && !m.startedLater:
 			// Admissions without contact were covered by the share of the rate that
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -104,7 +104,7 @@
 		Age:           s.now.Sub(s.started),
 		Leaving:       s.leaving,
 		Demand:        m.demand.perSecond,
-		InstanceCount: m.instanceCount(s.now),
+		InstanceCount: m.reportedCount(s.now),
 		Members:       s.memberSample(),
 		Usage:         s.usageReport(),
 		Loads:         s.loadReport(),
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -51,6 +51,8 @@
 	forwards map[simRequest]simRequest
 	// links is the part in which instances lose their links to engines.
 	links *simLinks
+	// quota is the part in which an organisation exceeds its quota.
+	quota *simQuota
 }
 
 type simInstance struct {
@@ -163,7 +165,7 @@
 	cfg.Incarnation, cfg.RandomSeed = incarnation, incarnation
 	i.s = New(cfg, f.now)
 	i.incarnation, i.down, i.held = incarnation, false, nil
-	c := routing.Config{Version: 1, Organisations: simOrganisations()}
+	c := routing.Config{Version: 1, Organisations: f.quota.organisations()}
 	f.step(i, DirectoryRead{Update: directory.Update{ReadAt: int64(f.now), Full: true, Batch: directory.Batch{
 		Changes: append([]directory.Change{{Config: &c}}, entries...), Revision: 1}}})
 }
@@ -225,6 +227,7 @@
 			job := simJob{i, i.incarnation, e.ID, f.now, e.Limited}
 			f.crashes.dispatched(f, job)
 			f.parts.dispatched(f, job)
+			f.quota.dispatched(f, job)
 			f.after(simDelay, func() { f.arriveAtEngine(f.engines[e.Endpoint.ID], job) })
 		case Refuse:
 			f.refused++
@@ -340,7 +343,7 @@
 		request := Request{
 			ID: f.nextID, Name: "r", Version: 1, Route: r, Service: service, Fingerprint: f.crashes.fingerprint(f.nextID), PromptTokens: 2000, Tokens: 2100,
 			PromptParts:    f.parts.arriving(f, f.instances[n], f.nextID),
-			Organisation:   &f.instances[n].s.table.Organisations()[f.nextID%16],
+			Organisation:   f.quota.organisation(f, f.instances[n], f.nextID),
 			CallerDeadline: f.now.Add(5 * time.Second), Deadline: f.now.Add(5 * time.Second),
 		}
 		f.requests[simRequest{f.instances[n], f.nextID}] = request
