Quotas: a keeper knows at once what all instances admit

Cause: at 195 instances reports to other zones are 2.4 s apart. When an organisation's demand rises to four times its quota, each instance goes on admitting until it has heard of the others: 5.9 s of the quota in 3 s (simulation; 4 are allowed for, 5 with a quarter more), then all refuse together until the debt is paid. Considered: more frequent reports (bytes between zones are the largest price already); notices to all for each admission (some 150 datagrams a second and instance); an owner that grants (a round trip for each request, and a decision that others depend on). Change: in a large system each quota has a keeper among the reachable instances. Each admission is sent to it; it answers with the level, and sends a low one to all, four times a second. The lower of that level and the own one counts. A keeper that does not answer within 0.3 s, as one of an older build, is passed over for 5 s. The test of the first cause has the check.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -33,6 +33,9 @@
 			Organisation: u.Organisation, Used: uint64(u.Used), Level: int64(math.Floor(u.Level)),
 		})
 	}
+	for _, l := range r.Levels {
+		m.Levels = append(m.Levels, &gossippb.QuotaLevel{Organisation: l.Organisation, Level: int64(math.Floor(l.Level))})
+	}
 	for _, l := range r.Loads {
 		m.Loads = append(m.Loads, &gossippb.EndpointLoad{Endpoint: l.Endpoint, Running: uint32(l.Running), Prefill: uint32(l.Prefill)})
 	}
@@ -123,6 +126,9 @@
 	for _, u := range m.GetUsage() {
 		r.Usage = append(r.Usage, scheduler.Usage{Organisation: u.GetOrganisation(), Used: float64(u.GetUsed()), Level: float64(u.GetLevel())})
 	}
+	for _, l := range m.GetLevels() {
+		r.Levels = append(r.Levels, scheduler.QuotaLevel{Organisation: l.GetOrganisation(), Level: float64(l.GetLevel())})
+	}
 	for _, l := range m.GetLoads() {
 		r.Loads = append(r.Loads, scheduler.EndpointLoad{Endpoint: l.GetEndpoint(), Running: int(l.GetRunning()), Prefill: int(l.GetPrefill())})
 	}
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -42,6 +42,7 @@
 		LeavingEndpoints: []crash.Incarnation{21},
 		Departures:       []scheduler.Departure{{Process: 22, Era: 3, Revision: 240, Removed: true}, {Process: 23, Revision: 241}},
 		FurtherSoftware:  []scheduler.ServiceSoftware{{Service: "s", Software: 24}, {Service: "t", Software: 25}},
+		Levels:           []scheduler.QuotaLevel{{Organisation: "o", Level: 12}, {Organisation: "p", Level: -7}},
 		EndQueries:       []crash.Incarnation{18},
 		Ended:            []crash.Incarnation{19, 20},
 		Paths:            []scheduler.ServicePaths{{Service: "s", Reached: 3}},
--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -55,6 +55,7 @@
 	}
 	s.endpointsChanged = false
 	s.reachableInstances = reachable
+	s.keeperChanges++
 	s.recordersChanged = true
 	if !s.leaving {
 		s.assignPermitOwners()
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -168,6 +168,8 @@
 	CounterRetries  Counter = "routed_retries_total"
 	CounterOutcomes Counter = "routed_attempts_total"
 	CounterReads    Counter = "platform_reads_total"
+	// CounterKeepersReplaced counts the keepers of quotas that did not answer, by reason.
+	CounterKeepersReplaced Counter = "quota_keepers_replaced_total"
 	// CounterHistories counts the times at which the platform came back from a copy.
 	CounterHistories Counter = "platform_histories_replaced_total"
 	// CounterEndpointEnds counts by evidence, CrashesCounter by observed or
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -254,7 +254,9 @@
 	// received a report.
 	Members []string
 	Usage   []Usage
-	Loads   []EndpointLoad
+	// Levels lists the levels of quotas that the sender keeps.
+	Levels []QuotaLevel
+	Loads  []EndpointLoad
 	// Crashes lists some of the causes under which endpoints ended.
 	Crashes []Crash
 	// Limits lists some of the rate limits that endpoints named or lifted.
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -61,6 +61,9 @@
 	// more before avoidUntil.
 	forwards   int
 	avoidUntil Instant
+	// usageUnanswered is when the first usage was sent that the member, as the keeper of a
+	// quota, has not answered, or zero. It is no keeper before keeperAvoidUntil.
+	usageUnanswered, keeperAvoidUntil Instant
 	// loads lists the endpoints for which the member has reported a load.
 	loads []string
 }
@@ -246,6 +249,12 @@
 		if x != nil && x.incarnation == r.Incarnation {
 			x.sequence = r.Sequence
 			s.applyLoadUpdate(x, r.Loads)
+			if len(r.Usage) > 0 {
+				s.answerUsage(x, r.Usage)
+			}
+			if len(r.Levels) > 0 {
+				s.applyLevels(x, r.Levels)
+			}
 			if len(r.Paths) > 0 {
 				s.applyPathReport(x, r.Paths)
 			}
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -41,6 +41,11 @@
 	used float64
 	// share is the fraction of the quota that the reachable instances may use.
 	share float64
+	// keeper is the address of the instance that keeps the quota, as of a number of
+	// changes; kept is the level that it reported last.
+	keeper       string
+	keeperChosen int
+	kept         keptLevel
 	// grantedShare is the share of which the initial level was granted.
 	grantedShare float64
 	// levelSynced is set once the level was taken over from an instance that was
@@ -154,7 +159,7 @@
 	}
 	s.members.demand.add(cost)
 	s.refill(b)
-	missing := b.reserve(r.Route.Priority, s.relativeCost(r)) - b.level
+	missing := b.reserve(r.Route.Priority, s.relativeCost(r)) - b.available(s.now)
 	if missing < 0 {
 		return 0
 	}
@@ -177,6 +182,7 @@
 		r.charged = r.cost()
 		b.debit(r.charged)
 		b.used += r.charged
+		s.usageChanged(r.Organisation.Name)
 	}
 }
 
--- a/internal/scheduler/simulation_quota_test.go
+++ b/internal/scheduler/simulation_quota_test.go
@@ -86,7 +86,9 @@
 			others := 0.3 * float64(size.engines*8) / simServiceTime.Seconds()
 			q.hotShare = demand / (demand + others)
 			f.runLoad(demand+others, 3*time.Second)
-			t.Logf("%d instances: %.2f of the bound in the worst window before the restart", size.instances, q.maxInWindow()/quotaBound())
+			peak := q.maxInWindow() / ((3*testRate + testBurst) * (1 + testOvershoot))
+			t.Logf("%d instances: %.2f of the bound in the three seconds before the restart", size.instances, peak)
+			must.LessEq(t, 1, peak)
 			for _, i := range f.instances {
 				f.kill(i, time.Second+time.Duration(f.rand.Int64N(int64(300*time.Millisecond))))
 			}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -63,7 +63,12 @@
 	// requests whose cost is in tokens.
 	quotas     map[string]*bucket
 	tokenCosts costMean
-	members    members
+	// changedUsage holds the organisations whose usage has to be sent to the keepers of
+	// their quotas. keeperChanges counts the occasions on which keepers may change.
+	changedUsage    []string
+	keeperChanges   int
+	lowLevelsSentAt Instant
+	members         members
 	// incarnations holds the listed endpoints by incarnation.
 	incarnations map[crash.Incarnation]*endpoint
 	// crashes holds the endpoints that ended under requests. withUnanswered holds
@@ -219,6 +224,7 @@
 	s.applyEvidence()
 	s.updatePermits()
 	s.sendLoadUpdates()
+	s.sendUsage()
 	s.updateReady()
 	return s.effects
 }
@@ -246,6 +252,8 @@
 	s.tickLimits()
 	s.sendCrashNotice()
 	s.tickOrigins()
+	s.reviewKeepers()
+	s.sendLowLevels()
 	s.sendDueReports()
 	s.refreshLoads()
 }
