--- a/internal/scheduler/permit_test.go
+++ b/internal/scheduler/permit_test.go
@@ -323,9 +323,16 @@
 	p.state(limited, namedLimit(1), 0)
 	i.reports = nil
 	i.step(PeerReported{Report: Report{Incarnation: 77, Sequence: 1, Address: "10.0.0.7:1", Zone: "a"}})
-	must.Len(t, 1, i.reports)
+	// The notice, and a complete report, since it knows nobody.
+	must.Len(t, 2, i.reports)
 	must.Eq(t, []string{"10.0.0.7:1"}, i.reports[0].To)
 	must.Eq(t, limited.incarnation(), i.reports[0].Report.Limits[0].Endpoint)
+	must.Eq(t, []string{"10.0.0.7:1"}, i.reports[1].To)
+	must.False(t, i.reports[1].Report.Partial)
+	i.reports = nil
+	i.step(PeerReported{Report: Report{Incarnation: 78, Sequence: 1, Address: "10.0.0.8:1", Zone: "a", Members: []string{selfAddr}}})
+	must.Len(t, 1, i.reports)
+	must.Eq(t, limited.incarnation(), i.reports[0].Report.Limits[0].Endpoint)
 }
 
 // Guards against partitions that each use the whole limit.
