--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -290,7 +290,7 @@
 		return out
 	}
 	if b := s.quotas[r.Organisation.Name]; b != nil && b.rate > 0 {
-		out = append(out, "quota_level", int64(b.level), "quota_reserve", int64(b.reserve(r.Route.Priority, s.relativeCost(r))),
+		out = append(out, "quota_level", int64(b.available(s.now)), "quota_own_level", int64(b.level), "quota_reserve", int64(b.reserve(r.Route.Priority, s.relativeCost(r))),
 			"quota_rate", int64(b.rate), "quota_part_percent", int64(100*b.share))
 	}
 	return out
