--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -23,9 +23,9 @@
 	memberRetention = 45 * time.Second
 	// minAssumedInstances is the least number of instances that a starting
 	// instance assumes while it has received reports only from instances that are
-	// starting too, if its seeds name others. maxAssumedInstances is what it assumes
-	// until discoveryPause has passed without a new member: it may be one of as many
-	// that start at once.
+	// starting too, if its seeds name others. For quotas maxAssumedInstances is what it
+	// assumes until discoveryPause has passed without a new member: it may be one of as
+	// many that start at once.
 	minAssumedInstances = 8
 	maxAssumedInstances = 400
 	discoveryPause      = 70 * time.Millisecond
@@ -166,9 +166,8 @@
 // instanceCount returns the number of instances that may be using their share
 // of a common allowance: this instance, its members and the seeds without
 // contact. If the seeds name other instances, it is during startup at least the
-// number that older instances have reported. If none has, it is maxAssumedInstances while
-// others are being discovered, and then at least minAssumedInstances and what the others
-// that start have discovered.
+// number that older instances have reported, or if none has, what the others that start
+// have discovered and minAssumedInstances.
 func (m *members) instanceCount(now Instant) int {
 	n := m.knownInstances()
 	switch {
@@ -176,12 +175,21 @@
 		return n
 	case m.reportedInstances > 0:
 		return max(n, m.reportedInstances)
-	case !m.contacted || now.Sub(m.joinedAt) < discoveryPause:
-		return max(n, maxAssumedInstances)
 	}
 	return max(n, minAssumedInstances, m.startingInstances)
 }
 
+// quotaInstances returns the number of instances that may be using their share of a
+// quota.
+func (m *members) quotaInstances(now Instant) int {
+	n := m.instanceCount(now)
+	discovering := !m.contacted || now.Sub(m.joinedAt) < discoveryPause
+	if m.onlyStartingMembers(now) && discovering && !m.singleInstance() {
+		return max(n, maxAssumedInstances)
+	}
+	return n
+}
+
 // reportedCount returns the number of instances that this one reports to others: not
 // what it only assumes.
 func (m *members) reportedCount(now Instant) int {
--- a/internal/scheduler/quota_share.go
+++ b/internal/scheduler/quota_share.go
@@ -54,7 +54,7 @@
 }
 
 func (m *members) computeQuotaShare(now Instant) float64 {
-	all := float64(m.instanceCount(now))
+	all := float64(m.quotaInstances(now))
 	reachable, demandFraction := 1.0, m.demandShare(m.self, all)
 	for _, a := range m.addresses() {
 		if m.reachableForQuota(m.byAddress[a], now) {
