--- a/internal/scheduler/departure.go
+++ b/internal/scheduler/departure.go
@@ -51,7 +51,7 @@
 	for _, d := range firstN(departed, maxAnnouncedDepartures) {
 		report.Departures = append(report.Departures, d.Departure)
 	}
-	report.FurtherSoftware = s.furtherSoftwareReport(further)
+	report.FurtherSoftware = newestSoftware(further)
 	s.emit(SendReport{To: to, Report: report})
 }
 
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -115,7 +115,7 @@
 
 		LeavingEndpoints: s.drainingReport(),
 		Departures:       s.departureReport(),
-		FurtherSoftware:  s.furtherSoftwareReport(s.furtherSoftware),
+		FurtherSoftware:  newestSoftware(s.furtherSoftware),
 	}
 	if s.table != nil {
 		report.Version = s.table.Version()
--- a/internal/scheduler/software_notice.go
+++ b/internal/scheduler/software_notice.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// furtherSoftwareReport returns the newest software that services run beside another.
-func (s *State) furtherSoftwareReport(all []recentSoftware) []ServiceSoftware {
+// newestSoftware returns the newest of the software that services run beside another.
+func newestSoftware(all []recentSoftware) []ServiceSoftware {
 	var out []ServiceSoftware
 	for _, x := range slices.Backward(all) {
 		if len(out) < maxReportedSoftware {
