--- a/internal/scheduler/simulation_quota_test.go
+++ b/internal/scheduler/simulation_quota_test.go
@@ -19,7 +19,6 @@
 	hotShare float64
 	admitted []admission
 	charged  map[simRequest]bool
-	refused  int
 }
 
 // organisations returns the organisations of the configuration.
