gossip: reject a report whose demand is not a finite, non-negative number

Cause: decode accepted any float as the demand of a report. After a report with a negative or infinite demand, requests of an organisation with a quota were not dispatched.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -99,7 +99,8 @@
 	return c
 }
 
-// decode decodes a datagram. It rejects a report without a sender.
+// decode decodes a datagram. It rejects a report without a sender and one whose
+// demand is not a finite, non-negative number.
 func decode(datagram []byte) (scheduler.Report, error) {
 	m := new(gossippb.Report)
 	if err := proto.Unmarshal(datagram, m); err != nil {
@@ -108,6 +109,9 @@
 	if m.GetIncarnation() == 0 || m.GetAddress() == "" {
 		return scheduler.Report{}, errors.New("gossip: report has no sender")
 	}
+	if demand := m.GetDemand(); math.IsNaN(demand) || math.IsInf(demand, 0) || demand < 0 {
+		return scheduler.Report{}, errors.Newf("gossip: demand of %v", demand)
+	}
 	r := scheduler.Report{
 		Incarnation:   m.GetIncarnation(),
 		Sequence:      m.GetSequence(),
