review: case 4, a waiting request whose client leaves is answered 200

Cause: when a caller's context ends before the scheduler has decided, the handler returns without an answer, and net/http completes it with status 200.

Nothing is fixed.

--- a/review/standins/site/client.go
+++ b/review/standins/site/client.go
@@ -76,6 +76,10 @@
 	return err
 }
 
+// Leave ends the client's side of the connection as an orderly close does: it sends
+// nothing more, and reads what still comes until the other side has closed too.
+func (c *Client) Leave() error { return c.conn.(*net.TCPConn).CloseWrite() }
+
 // Receive reads one answer.
 func (c *Client) Receive(method string, within time.Duration) Got {
 	_ = c.conn.SetReadDeadline(time.Now().Add(within))
--- a/review/standins/site/runner.go
+++ b/review/standins/site/runner.go
@@ -107,10 +107,18 @@
 		r.site.Note("runner %s (%s) runs %s %s %s, tenant %q", r.ID, r.Service, id, request.Method, request.RequestURI, strings.Join(request.Header.Values("Balsamstair-Tenant"), ","))
 		if r.Answer != nil {
 			r.Answer(conn, request)
-			continue
+		} else {
+			AnswerAfter(WorkTime)(conn, request)
 		}
-		time.Sleep(WorkTime)
-		_, _ = io.WriteString(conn, Answer(200, id, "answer to "+id))
+	}
+}
+
+// AnswerAfter returns an Answerer that works for a time and answers with success.
+func AnswerAfter(work time.Duration) Answerer {
+	return func(c net.Conn, r *http.Request) {
+		id := r.Header.Get("Balsamstair-Attempt-Id")
+		time.Sleep(work)
+		_, _ = io.WriteString(c, Answer(http.StatusOK, id, "answer to "+id))
 	}
 }
 
