--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run.sh" "$(dirname "$0")" own-503
+exec "$(dirname "$0")/../run.sh" "$(dirname "$0")" connection-header
--- a/review/standins/site/runner.go
+++ b/review/standins/site/runner.go
@@ -20,9 +20,11 @@
 	// Answer answers a request that the runner runs. Nil stands for a 200 after 60 ms.
 	Answer Answerer
 
-	site *Site
-	mu   sync.Mutex
-	runs []Ran
+	site     *Site
+	listener net.Listener
+	mu       sync.Mutex
+	runs     []Ran
+	conns    []net.Conn
 }
 
 // Answerer answers a request that a runner runs.
@@ -41,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{ID: id, Service: service, Zone: zone, Address: l.Addr().String(), Born: time.Now().UnixMilli(), Answer: answer, site: s}
+	r := &Runner{ID: id, Service: service, Zone: zone, Address: l.Addr().String(), Born: time.Now().UnixMilli(), Answer: answer, site: s, listener: l}
 	go r.serve(l)
 	r.Register("ready")
 	return r, nil
@@ -56,6 +58,18 @@
 	})
 }
 
+// Exit ends the runner: its listener, its connections and its entry.
+func (r *Runner) Exit() {
+	r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		c.Close()
+	}
+	r.site.Store.Delete("servers/" + r.ID)
+	r.site.Note("runner %s exits", r.ID)
+}
+
 // Runs returns the requests that it ran.
 func (r *Runner) Runs() []Ran {
 	r.mu.Lock()
@@ -80,6 +94,9 @@
 		if err != nil {
 			return
 		}
+		r.mu.Lock()
+		r.conns = append(r.conns, conn)
+		r.mu.Unlock()
 		go r.serveConn(conn)
 	}
 }
--- a/review/standins/site/site.go
+++ b/review/standins/site/site.go
@@ -27,6 +27,7 @@
 // Bounds of the deployments kfo-stair and piedmont-caners.
 const (
 	GraceS      = 8
+	DrainMs     = 2000
 	HeartbeatMs = 1200
 )
 
