review: case 3, streams of two software versions are joined after a restart

Cause: instances that were all restarted know of no earlier version and take a stream that nobody recorded to have begun at the only one that is listed.

Change: the case as a script. Nothing is fixed.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run.sh" "$(dirname "$0")" connection-header
+exec "$(dirname "$0")/../run.sh" "$(dirname "$0")" joined-versions
--- a/review/standins/cmd/connection-header/main.go
+++ b/review/standins/cmd/connection-header/main.go
@@ -12,7 +12,7 @@
 const requests = 60
 
 func main() {
-	site.Run(3, site.KfoStairMemoryMb, func(s *site.Site) error {
+	site.Run(3, func(s *site.Site) error {
 		runners, err := s.AddRunners("order-app", func(int) site.Answerer { return nil })
 		if err != nil {
 			return err
--- a/review/standins/cmd/foreign-entry/main.go
+++ b/review/standins/cmd/foreign-entry/main.go
@@ -27,7 +27,7 @@
 )
 
 func main() {
-	site.Run(3, site.KfoStairMemoryMb, func(s *site.Site) error {
+	site.Run(3, func(s *site.Site) error {
 		runners, err := s.AddRunners("order-app", func(int) site.Answerer { return site.AnswerAfter(work) })
 		if err != nil {
 			return err
--- a/review/standins/cmd/late-bytes/main.go
+++ b/review/standins/cmd/late-bytes/main.go
@@ -82,7 +82,7 @@
 }
 
 func main() {
-	site.Run(3, site.KfoStairMemoryMb, func(s *site.Site) error {
+	site.Run(3, func(s *site.Site) error {
 		f := &faulty{site: s, late: map[net.Conn]string{}}
 		runners, err := s.AddRunners("order-app", func(n int) site.Answerer {
 			if n == 0 {
