--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -35,6 +35,8 @@
 	endpointIdleTimeout = 20 * time.Second
 	// storeConnectTimeout limits connecting to the platform's store or a relay.
 	storeConnectTimeout = 500 * time.Millisecond
+	// historyTimeout limits the read of the store's history after the start.
+	historyTimeout = 2 * time.Second
 	// storeHeaderBytes limits the head of an answer of the store or a relay.
 	storeHeaderBytes = 64 << 10
 	// routedDrainDelay is the time that the load balancer may need to notice that
@@ -70,6 +72,7 @@
 	gossip       *gossip.Transport
 	operator     *operator.Server
 	counters     *operator.Counters
+	store        *platform.Store
 	watcher      *directory.Watcher
 	replica      *directory.Replica
 	readPlan     atomic.Pointer[directory.ReadPlan]
@@ -130,8 +133,9 @@
 		Log:      log.Named("gossip"),
 	})
 	d.operator = operator.New(operator.Config{Address: cfg.OperatorAddress, Counters: d.counters, Log: log.Named("operator")})
+	d.store = platform.NewStore(cfg.PlatformAddress, storeTransport())
 	d.watcher = directory.NewWatcher(directory.WatcherConfig{
-		Source:      platform.NewStore(cfg.PlatformAddress, storeTransport()),
+		Source:      d.store,
 		Plan:        func() directory.ReadPlan { return *d.readPlan.Load() },
 		RelayClient: &http.Client{Transport: storeTransport()},
 		Now:         boottime.Now,
@@ -174,6 +178,8 @@
 		d.gossip.Send(e.To, e.Report)
 	case scheduler.ReadyChanged:
 		d.operator.SetReady(e.Ready)
+	case scheduler.ReadHistory:
+		go d.readHistory()
 	case scheduler.ReadPlanChanged:
 		d.readPlan.Store(&e.Plan)
 	case scheduler.Logged:
@@ -186,6 +192,17 @@
 	return true
 }
 
+// readHistory reads the platform's history. Without an answer nothing is known of it.
+func (d *routedDaemon) readHistory() {
+	ctx, cancel := context.WithTimeout(context.Background(), historyTimeout)
+	defer cancel()
+	batch, err := d.store.History(ctx)
+	if err != nil && !errors.Is(err, directory.ErrCompacted) {
+		d.log.Info("platform_history_unread", "error", err.Error())
+	}
+	d.loop.Post(scheduler.HistoryRead{Changes: batch.Changes, Complete: err == nil})
+}
+
 // run serves until ctx is cancelled. It then returns when the requests in
 // progress have ended, at the latest shutdownMargin before the grace time ends.
 func (d *routedDaemon) run(ctx context.Context) error {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -103,7 +103,12 @@
 		Dialect:     testDialect{}, Now: now, Post: s.loop.Post, Log: logline.Discard(),
 		Counters: operator.NewCounters(), BodiesBytes: 1 << 20,
 	})
-	s.loop.AddEffectHandlers(s.handler.HandleEffect)
+	s.loop.AddEffectHandlers(s.handler.HandleEffect, func(e scheduler.Effect) bool {
+		_, readsHistory := e.(scheduler.ReadHistory)
+		return readsHistory
+	})
+	// The platform still has its whole history.
+	s.loop.Post(scheduler.HistoryRead{Complete: true})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.loop.Serve(ctx) }()
--- a/internal/gossip/codec_origin.go
+++ b/internal/gossip/codec_origin.go
@@ -23,7 +23,7 @@
 	}
 	for _, a := range r.OriginAnswers {
 		m.OriginAnswers = append(m.OriginAnswers, &gossippb.OriginAnswer{
-			Attempt: uint64(a.Attempt), Recorded: a.Recorded, Software: uint64(a.Software), Alone: a.Alone,
+			Attempt: uint64(a.Attempt), Recorded: a.Recorded, Software: uint64(a.Software), Alone: a.Alone, Covered: a.Covered,
 		})
 	}
 	for _, x := range r.FurtherSoftware {
@@ -47,7 +47,7 @@
 	for _, a := range m.GetOriginAnswers() {
 		r.OriginAnswers = append(r.OriginAnswers, scheduler.OriginAnswer{
 			Attempt: origin.Attempt(a.GetAttempt()), Recorded: a.GetRecorded(), Software: origin.Software(a.GetSoftware()),
-			Alone: a.GetAlone(),
+			Alone: a.GetAlone(), Covered: a.GetCovered(),
 		})
 	}
 	for _, x := range m.GetFurtherSoftware() {
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -34,7 +34,7 @@
 			{Attempt: 11, Software: 12, Dispatch: 2, Remaining: 1500 * time.Millisecond}, {Attempt: 13},
 		},
 		OriginQueries: []scheduler.OriginQuery{{Attempt: 14, Services: []string{"s", "t"}, Memory: 30 * time.Second}},
-		OriginAnswers: []scheduler.OriginAnswer{{Attempt: 15, Recorded: true, Software: 16}, {Attempt: 17, Alone: true}},
+		OriginAnswers: []scheduler.OriginAnswer{{Attempt: 15, Recorded: true, Software: 16}, {Attempt: 17, Alone: true, Covered: true}},
 		Brittle: []scheduler.BrittleStatement{
 			{Service: "s", Brittleness: scheduler.Brittleness{Named: true, Rejections: 3}, SentAge: 30 * time.Millisecond, ReceivedAge: 20 * time.Millisecond, Room: 2, RoomAge: time.Second},
 			{Service: "t", Brittleness: scheduler.Brittleness{Named: true}}, {Service: "u", SentAge: time.Second},
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -9,6 +9,8 @@
 	// begun is when the first software was listed.
 	begun    Time
 	hasBegun bool
+	// complete is set if all software is known that was listed before.
+	complete bool
 }
 
 // startGrace is the time after the first listing within which software counts as
@@ -21,6 +23,23 @@
 // NewHistory returns an empty History.
 func NewHistory() *History { return &History{services: map[string]map[Software]seen{}} }
 
+// AddPast records that a service may have run some software at any time before the first
+// listing here.
+func (h *History) AddPast(service string, software Software, now Time) {
+	h.Listed(service, software, now)
+	h.services[service][software] = seen{first: h.begun, last: now}
+}
+
+// SetComplete records that all software is known that was listed before the first listing
+// here: what AddPast has added.
+func (h *History) SetComplete() { h.complete = true }
+
+// Covers reports whether the history includes all software that was listed within a
+// time. After a start the first listing does not show what was removed before.
+func (h *History) Covers(now Time, within time.Duration) bool {
+	return h.hasBegun && (h.complete || now-h.begun > within)
+}
+
 // Listed records that an endpoint of a service is listed with some software. It
 // reports whether this is a further one: new here, of a service that has run others.
 func (h *History) Listed(service string, software Software, now Time) (further bool) {
@@ -61,7 +80,8 @@
 // only one that they had run before the others came. An instance records attempts
 // from the moment at which it knows of the second one. Software that was there when
 // this instance first read the list counts as older than any time. The result is
-// Unknown if there is no such software; alone is set if it is the only one.
+// Unknown if there is no such software; alone is set if it is the only one. It proves
+// nothing unless the history of some instance covers the time.
 func (h *History) Sole(services []string, now Time, within time.Duration) (software Software, alone bool) {
 	var all, older []Software
 	for _, service := range services {
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -109,6 +109,28 @@
 	must.MapEmpty(t, h.services)
 }
 
+// Guards against a listing after a start that is taken for all that ever ran.
+func TestHistoryCoversWhatWasListedSinceItsBegin(t *testing.T) {
+	const within = 30 * time.Second
+	h := NewHistory()
+	must.False(t, h.Covers(time.Hour, within))
+	h.Listed("s", v1, time.Hour)
+	must.False(t, h.Covers(time.Hour+within, within))
+	must.True(t, h.Covers(time.Hour+within+1, within))
+
+	h = NewHistory()
+	h.SetComplete()
+	must.False(t, h.Covers(time.Hour, within))
+	h.Listed("s", v1, time.Hour)
+	must.True(t, h.Covers(time.Hour, within))
+	got, alone := h.Sole([]string{"s"}, time.Hour, within)
+	must.Eq(t, v1, got)
+	must.True(t, alone)
+	h.AddPast("s", v2, time.Hour+time.Minute)
+	got, _ = h.Sole([]string{"s"}, time.Hour+time.Minute, 2*time.Minute)
+	must.Eq(t, Unknown, got)
+}
+
 func listAll(h *History, at time.Duration) {
 	h.Listed("s", v1, at)
 	h.Listed("s", v2, at)
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -44,6 +44,9 @@
 		Waited    time.Duration
 		LogFields []any
 	}
+	// ReadHistory reads all changes that the platform has ever made, if it still has them.
+	// HistoryRead must follow.
+	ReadHistory struct{}
 	// ProbePath opens a connection to an endpoint to find out whether this instance
 	// reaches it. PathProbed must follow.
 	ProbePath struct{ Endpoint directory.Endpoint }
@@ -97,6 +100,7 @@
 func (Dispatch) effect()        {}
 func (Forward) effect()         {}
 func (ProbePath) effect()       {}
+func (ReadHistory) effect()     {}
 func (ProbeEndpoint) effect()   {}
 func (Refuse) effect()          {}
 func (ConfigAdopted) effect()   {}
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -182,6 +182,13 @@
 		Reason     Reason
 		RetryAfter time.Duration
 	}
+	// HistoryRead reports the result of a ReadHistory effect. Changes are all writes and
+	// deletions of the platform's history, the oldest first, if Complete is set: if the
+	// platform still has them all.
+	HistoryRead struct {
+		Changes  []directory.Change
+		Complete bool
+	}
 	// PathProbed reports the result of a ProbePath effect.
 	PathProbed struct {
 		Endpoint directory.Endpoint
@@ -214,6 +221,7 @@
 func (AttemptEnded) event()    {}
 func (ForwardEnded) event()    {}
 func (PathProbed) event()      {}
+func (HistoryRead) event()     {}
 func (DirectoryRead) event()   {}
 func (EndpointProbed) event()  {}
 func (PeerReported) event()    {}
@@ -370,9 +378,10 @@
 	Attempt origin.Attempt
 	// Recorded is set if the sender has a record of the attempt. Otherwise Software is
 	// the one that must have begun it as far as the sender knows, or Unknown, and Alone
-	// is set if the sender knows of no other.
-	Recorded, Alone bool
-	Software        origin.Software
+	// is set if the sender knows of no other. Covered is set if the sender has known of
+	// all software for the time that was asked for.
+	Recorded, Alone, Covered bool
+	Software                 origin.Software
 }
 
 // PermitAsk asks the owner of an endpoint's limit for permits. It replaces the
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -30,6 +30,10 @@
 	onlyPathsTo string
 	forwards    []Forward
 	ready       bool
+	// history is what happened before the instance started, historyGone is set if the
+	// platform does not have it any more.
+	history     []directory.Change
+	historyGone bool
 	// reportsSent is the number of reports of reportFrom.
 	reportsSent uint64
 	revision    int64
@@ -74,6 +78,10 @@
 				result = ProbeUnknown
 			}
 			i.step(PathProbed{Endpoint: e.Endpoint, Result: result})
+		case ReadHistory:
+			if !i.historyGone {
+				i.step(HistoryRead{Changes: i.history, Complete: true})
+			}
 		case Forward:
 			i.forwards = append(i.forwards, e)
 		case SendReport:
--- a/internal/scheduler/simulation_crash_test.go
+++ b/internal/scheduler/simulation_crash_test.go
@@ -194,7 +194,7 @@
 func (f *simulation) entries() []directory.Change {
 	var out []directory.Change
 	for _, e := range f.engines {
-		if !e.down {
+		if !e.down && !e.unlisted {
 			c := f.entry(e)
 			c.Endpoint.Leaving = e.leaving
 			out = append(out, c)
--- a/internal/scheduler/simulation_stream_test.go
+++ b/internal/scheduler/simulation_stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -256,6 +257,18 @@
 	f.after(simEntryTimeout, func() { f.publishLate(directory.Change{EndpointID: e.id, Revision: 2}) })
 }
 
+// replaceAllEngines starts engines with a version and removes the entries of all others,
+// which serve on without saying that they leave.
+func (f *simulation) replaceAllEngines(version string) {
+	for _, oldID := range slices.Sorted(maps.Keys(f.engines)) {
+		e := f.engines[oldID]
+		e.leaving, e.unlisted = true, true
+		id := e.id + "-" + version
+		f.engines[id] = &simEngine{id: id, zone: e.zone, address: id, started: int64(f.now), slots: e.slots, version: version}
+		f.publish(f.entry(f.engines[id]), directory.Change{EndpointID: e.id, Revision: 4})
+	}
+}
+
 // publishLate delivers a change of the directory to each instance after a time of its
 // own.
 func (f *simulation) publishLate(change directory.Change) {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -76,6 +76,8 @@
 	version string
 	// leaving is set once the engine is about to leave.
 	leaving bool
+	// unlisted is set once its entry was removed while it serves on.
+	unlisted bool
 	// down is set once the engine has ended.
 	down    bool
 	running []simJob
@@ -163,7 +165,11 @@
 	cfg := testConfig()
 	cfg.Address, cfg.Zone, cfg.Seeds = i.address, i.zone, f.seeds
 	cfg.Incarnation, cfg.RandomSeed = incarnation, incarnation
+	firstStart := i.s == nil
 	i.s = New(cfg, f.now)
+	if firstStart {
+		defer f.step(i, HistoryRead{Complete: true})
+	}
 	i.incarnation, i.down, i.held = incarnation, false, nil
 	c := routing.Config{Version: 1, Organisations: f.quota.organisations()}
 	f.step(i, DirectoryRead{Update: directory.Update{ReadAt: int64(f.now), Full: true, Batch: directory.Batch{
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -87,6 +87,8 @@
 	origins          *origin.Table
 	history          *origin.History
 	originsExpiredAt Instant
+	// historyRead is set once the platform was asked for its history.
+	historyRead bool
 	// recordersChanged is set if the instances that keep records may have changed.
 	recordersChanged bool
 	// evidenceChanged is set if the verdict about a waiting request may have changed
@@ -209,6 +211,8 @@
 		s.members.seedsChanged(ev.Seeds)
 	case EndpointProbed:
 		s.endpointProbed(ev)
+	case HistoryRead:
+		s.applyHistory(ev)
 	case StopRequested:
 		s.leaving = true
 		s.assignPermitOwners()
@@ -236,6 +240,7 @@
 func (s *State) count(c Counter, label string) { s.emit(Counted{Counter: c, Label: label, Delta: 1}) }
 
 func (s *State) tick() {
+	s.readHistory()
 	s.expireQueued()
 	s.expireLapsedEndpoints()
 	s.releaseHeldEntries()
--- a/internal/scheduler/stream_lookup.go
+++ b/internal/scheduler/stream_lookup.go
@@ -83,6 +83,7 @@
 			answer.Recorded, answer.Software = true, record.Software
 		} else {
 			answer.Software, answer.Alone = s.history.Sole(q.Services, origin.Time(s.now), q.Memory)
+			answer.Covered = s.history.Covers(origin.Time(s.now), q.Memory)
 		}
 		report.OriginAnswers = append(report.OriginAnswers, answer)
 	}
@@ -150,16 +151,22 @@
 // inferOrigin returns the software that must have begun a stream of which no
 // instance has a record, or Unknown if that can't be told. All that answer must
 // agree: one that has restarted while several versions served has lost its records
-// and can't tell.
+// and can't tell. One of them must have known of all software for as long as the
+// stream may have run: what instances list after they all have restarted does not show
+// which software left before.
 func (s *State) inferOrigin(l *lookup) origin.Software {
 	software, alone := s.history.Sole(l.services, origin.Time(s.now), l.memory)
+	covered := s.history.Covers(origin.Time(s.now), l.memory)
 	for _, a := range l.answers {
 		if a.Software != software {
 			return origin.Unknown
 		}
 		alone = alone && a.Alone
+		covered = covered || a.Covered
 	}
 	switch {
+	case !covered:
+		return origin.Unknown
 	case alone && (len(l.answers) > 0 || s.members.singleInstance() || s.configAge() <= maxUnconfirmedTime):
 		return software
 	case alone:
@@ -184,15 +191,33 @@
 func (s *State) concludeLookup(r *request, p *pool) {
 	software := s.inferOrigin(r.lookup)
 	if software == origin.Unknown {
-		r.lookup = nil
 		s.count(CounterTakenUp, "unknown")
-		s.log("stream_origin_unknown", "request", r.Name, "resumes", r.Resumes)
+		s.logUnknownOrigin(r)
+		r.lookup = nil
 		s.refuseHeld(r, StreamOriginUnknown)
 		return
 	}
 	s.originFound(r, p, software, "inferred")
 }
 
+// logUnknownOrigin logs what was known when the origin of a stream could not be told.
+func (s *State) logUnknownOrigin(r *request) {
+	l := r.lookup
+	_, alone := s.history.Sole(l.services, origin.Time(s.now), l.memory)
+	covered, disagreeing := 0, 0
+	for _, a := range l.answers {
+		if a.Covered {
+			covered++
+		}
+		if a.Alone != alone {
+			disagreeing++
+		}
+	}
+	s.log("stream_origin_unknown", "request", r.Name, "resumes", r.Resumes, "asked", len(l.asked),
+		"answers", len(l.answers), "answers_covered", covered, "answers_disagreeing", disagreeing,
+		"alone", alone, "covered", s.history.Covers(origin.Time(s.now), l.memory), "config_age_ms", s.configAge().Milliseconds())
+}
+
 // originFound queues a request at the software that began its stream, or refuses it
 // if no endpoint runs that any more.
 func (s *State) originFound(r *request, p *pool, software origin.Software, source string) {
--- a/internal/scheduler/stream_origin.go
+++ b/internal/scheduler/stream_origin.go
@@ -96,10 +96,11 @@
 	}
 }
 
-// severalSoftwares reports whether the services of a request's route have run more
+// severalSoftwares reports whether the services of a request's route may have run more
 // than one software while its stream may have begun.
 func (s *State) severalSoftwares(r *request) bool {
-	return s.history.Several(r.services(), origin.Time(s.now), softwareMemory(r.Route.Timeout))
+	memory := softwareMemory(r.Route.Timeout)
+	return !s.history.Covers(origin.Time(s.now), memory) || s.history.Several(r.services(), origin.Time(s.now), memory)
 }
 
 // repeatOrigins sends the records of the streams in progress again, since instances
--- a/internal/scheduler/stream_origin_test.go
+++ b/internal/scheduler/stream_origin_test.go
@@ -31,6 +31,8 @@
 		changes = append(changes, versionedEngine(n, slots, version))
 	}
 	i.applyChanges(changes...)
+	i.step(Tick{})
+	i.reports = nil
 	return i
 }
 
@@ -245,6 +247,74 @@
 	}
 }
 
+// Guards against a stream that goes on at the only software that instances list after
+// they all have restarted, although it began at software that had left before.
+func TestInstancesThatRestartedDoNotInferAnOrigin(t *testing.T) {
+	v1 := origin.SoftwareOf(service, "v1")
+	for name, c := range map[string]struct {
+		running time.Duration
+		history bool
+		before  []directory.Change
+		answer  OriginAnswer
+		goesOn  bool
+	}{
+		"all restarted":                {answer: OriginAnswer{Software: v1, Alone: true}},
+		"another has run for long":     {answer: OriginAnswer{Software: v1, Alone: true, Covered: true}, goesOn: true},
+		"another has run since before": {answer: OriginAnswer{Covered: true}},
+		"platform knows all versions":  {history: true, before: []directory.Change{versionedEngine(9, 4, "v1")}, answer: OriginAnswer{Software: v1, Alone: true}, goesOn: true},
+		"platform knows another":       {history: true, before: []directory.Change{versionedEngine(9, 4, "v0")}, answer: OriginAnswer{Software: v1, Alone: true}},
+		"not long enough":              {running: minSoftwareMemory - time.Second, answer: OriginAnswer{Software: v1, Alone: true}},
+		"has run for long":             {running: minSoftwareMemory + time.Second, answer: OriginAnswer{Software: v1, Alone: true}, goesOn: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Seeds = []string{selfAddr, otherAddr}
+			i := newInstance(t, cfg)
+			i.historyGone = !c.history
+			i.history = c.before
+			i.configure(routing.Config{Version: 1})
+			i.applyChanges(versionedEngine(0, 4, "v1"))
+			i.advance(max(c.running, TickInterval))
+			i.reportFrom(otherAddr, nil)
+			id := i.takeUp("x")
+			answer := c.answer
+			answer.Attempt = origin.AttemptOf("", "x")
+			i.reportFrom(otherAddr, func(r *Report) { r.OriginAnswers = []OriginAnswer{answer} })
+			i.advance(lookupTime)
+			must.Eq(t, c.goesOn, i.running(id))
+			if !c.goesOn {
+				must.Eq(t, StreamOriginUnknown, i.refusal(id).Reason)
+				must.True(t, i.refusal(id).NotRun)
+			}
+		})
+	}
+}
+
+// Guards against streams that can't go on since they began after a restart, when only
+// one version is listed, and the instance that began them ends.
+func TestOriginsAreRecordedElsewhereAfterRestart(t *testing.T) {
+	for name, firstStart := range map[string]bool{"first start": true, "restart": false} {
+		t.Run(name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Seeds = []string{selfAddr, otherAddr}
+			i := newInstance(t, cfg)
+			i.historyGone = !firstStart
+			i.configure(routing.Config{Version: 1})
+			i.applyChanges(versionedEngine(0, 4, "v1"))
+			i.reportFrom(otherAddr, nil)
+			i.step(Tick{})
+			i.reports = nil
+			i.begin()
+			i.step(Tick{})
+			recorded := 0
+			for _, report := range i.reports {
+				recorded += len(report.Report.Origins)
+			}
+			must.Eq(t, !firstStart, recorded > 0)
+		})
+	}
+}
+
 // Guards against records that only the instance has that began the stream, that are
 // written too late, or that are sent where one version serves.
 func TestOriginIsRecordedAtTwoInstancesOfTwoZones(t *testing.T) {
@@ -286,7 +356,7 @@
 		other.reports = nil
 		other.step(PeerReported{Report: Report{Incarnation: 9, Sequence: 2, Address: otherAddr, Partial: true, OriginQueries: []OriginQuery{
 			{Attempt: 5, Services: []string{service}, Memory: time.Minute}, {Attempt: 6, Services: []string{service}, Memory: time.Minute}}}})
-		must.Eq(t, []OriginAnswer{{Attempt: 5, Recorded: true, Software: 6}, {Attempt: 6}}, other.reports[0].Report.OriginAnswers)
+		must.Eq(t, []OriginAnswer{{Attempt: 5, Recorded: true, Software: 6}, {Attempt: 6, Covered: true}}, other.reports[0].Report.OriginAnswers)
 		must.Eq(t, []string{otherAddr}, other.reports[0].To)
 	}
 }
--- a/internal/scheduler/stream_version_test.go
+++ b/internal/scheduler/stream_version_test.go
@@ -53,6 +53,29 @@
 	}
 }
 
+// Guards against streams that go on at the version that instances list after all of them
+// have restarted, although they began at the one that was released before.
+func TestStreamsAreNotJoinedAfterAllInstancesRestart(t *testing.T) {
+	t.Parallel()
+	for _, size := range streamSizes {
+		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
+			t.Parallel()
+			f := newStreamSimulation(size.instances, size.engines, size.slots, "v1")
+			f.advance(3 * time.Second)
+			f.startStreams(size.rate, f.now.Add(8*time.Second))
+			f.after(2*time.Second, func() { f.replaceAllEngines("v2") })
+			f.after(2800*time.Millisecond, func() {
+				for _, i := range f.instances {
+					f.kill(i, 50*time.Millisecond)
+				}
+			})
+			f.advance(12 * time.Second)
+			t.Logf("%d streams, %d with events of two versions", len(f.streams.all), f.streams.joined())
+			must.LessEq(t, joinedStreamsAllowed, f.streams.joined())
+		})
+	}
+}
+
 // Drawn schedules of kills, pauses, restarts of all instances, partitions, engines
 // that end, and releases that replace engines one by one, three at a time and back
 // again, while callers take broken streams up. Instances hear of changes at
