--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -35,6 +35,8 @@
 	endpointIdleTimeout = 20 * time.Second
 	// storeConnectTimeout limits connecting to the platform's store or a relay.
 	storeConnectTimeout = 500 * time.Millisecond
+	// listingCheckTimeout limits a check of the list, for which a request waits.
+	listingCheckTimeout = 300 * time.Millisecond
 	// historyTimeout limits the read of the store's history after the start.
 	historyTimeout = 2 * time.Second
 	// storeHeaderBytes limits the head of an answer of the store or a relay.
@@ -178,6 +180,8 @@
 		d.gossip.Send(e.To, e.Report)
 	case scheduler.ReadyChanged:
 		d.operator.SetReady(e.Ready)
+	case scheduler.CheckListing:
+		go d.checkListing(e)
 	case scheduler.ReadHistory:
 		go d.readHistory()
 	case scheduler.ReadPlanChanged:
@@ -192,6 +196,18 @@
 	return true
 }
 
+// checkListing asks the platform whether anything has changed.
+func (d *routedDaemon) checkListing(e scheduler.CheckListing) {
+	ctx, cancel := context.WithTimeout(context.Background(), listingCheckTimeout)
+	defer cancel()
+	result := scheduler.ListingChecked{After: e.After, ReadAt: schedulerNow()}
+	var err error
+	if result.Unchanged, err = d.store.Unchanged(ctx, e.After); err != nil {
+		d.log.Info("listing_unchecked", "error", err.Error())
+	}
+	d.loop.Post(result)
+}
+
 // readHistory reads the platform's history. Without an answer nothing is known of it.
 func (d *routedDaemon) readHistory() {
 	ctx, cancel := context.WithTimeout(context.Background(), historyTimeout)
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -44,6 +44,9 @@
 		Waited    time.Duration
 		LogFields []any
 	}
+	// CheckListing asks the platform whether anything has changed after a position.
+	// ListingChecked must follow.
+	CheckListing struct{ After directory.Position }
 	// ReadHistory reads all changes that the platform has ever made, if it still has them.
 	// HistoryRead must follow.
 	ReadHistory struct{}
@@ -100,6 +103,7 @@
 func (Dispatch) effect()        {}
 func (Forward) effect()         {}
 func (ProbePath) effect()       {}
+func (CheckListing) effect()    {}
 func (ReadHistory) effect()     {}
 func (ProbeEndpoint) effect()   {}
 func (Refuse) effect()          {}
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -182,6 +182,13 @@
 		Reason     Reason
 		RetryAfter time.Duration
 	}
+	// ListingChecked reports the result of a CheckListing effect. Unchanged is set if
+	// nothing had changed after a position when the platform was read at ReadAt.
+	ListingChecked struct {
+		After     directory.Position
+		ReadAt    Instant
+		Unchanged bool
+	}
 	// HistoryRead reports the result of a ReadHistory effect. Changes are all writes and
 	// deletions of the platform's history, the oldest first, if Complete is set: if the
 	// platform still has them all.
@@ -221,6 +228,7 @@
 func (AttemptEnded) event()    {}
 func (ForwardEnded) event()    {}
 func (PathProbed) event()      {}
+func (ListingChecked) event()  {}
 func (HistoryRead) event()     {}
 func (DirectoryRead) event()   {}
 func (EndpointProbed) event()  {}
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -34,6 +34,8 @@
 	// platform does not have it any more.
 	history     []directory.Change
 	historyGone bool
+	// platformDown is set while the platform does not confirm its list.
+	platformDown bool
 	// reportsSent is the number of reports of reportFrom.
 	reportsSent uint64
 	revision    int64
@@ -78,6 +80,8 @@
 				result = ProbeUnknown
 			}
 			i.step(PathProbed{Endpoint: e.Endpoint, Result: result})
+		case CheckListing:
+			i.step(ListingChecked{After: e.After, ReadAt: i.now, Unchanged: !i.platformDown})
 		case ReadHistory:
 			if !i.historyGone {
 				i.step(HistoryRead{Changes: i.history, Complete: true})
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -29,6 +29,10 @@
 type platformStatus struct {
 	// confirmedAt is when the latest successful read began.
 	confirmedAt Instant
+	// position is that of the latest read, listedAt the time as of which the list is
+	// known to contain all changes.
+	position directory.Position
+	listedAt Instant
 	// answeredAt is when the platform was last known to answer.
 	answeredAt Instant
 	// era is the number of the history that was last read.
@@ -111,6 +115,8 @@
 		s.platform.answeredAt = max(s.platform.answeredAt, readAt)
 	}
 	s.platform.era = max(s.platform.era, u.Batch.Era)
+	s.platform.listedAt = max(s.platform.listedAt, readAt)
+	s.advancePosition(u)
 	if u.NewHistory {
 		s.historyReplaced(u)
 	}
@@ -123,6 +129,15 @@
 	s.emit(ConfigConfirmed{At: s.platform.confirmedAt})
 }
 
+// advancePosition records how far the platform's history was read.
+func (s *State) advancePosition(u directory.Update) {
+	position := directory.Position{Era: u.Batch.Era, Revision: u.Batch.Revision}
+	if !u.Full && position.Era == s.platform.position.Era {
+		position.Revision = max(position.Revision, s.platform.position.Revision)
+	}
+	s.platform.position = position
+}
+
 func (s *State) applyBatch(u directory.Update) {
 	listed := map[string]bool{}
 	for _, c := range u.Batch.Changes {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -89,6 +89,8 @@
 	originsExpiredAt Instant
 	// historyRead is set once the platform was asked for its history.
 	historyRead bool
+	// listingCheckedAt is when the platform was last asked to confirm the list.
+	listingCheckedAt Instant
 	// recordersChanged is set if the instances that keep records may have changed.
 	recordersChanged bool
 	// evidenceChanged is set if the verdict about a waiting request may have changed
@@ -211,6 +213,8 @@
 		s.members.seedsChanged(ev.Seeds)
 	case EndpointProbed:
 		s.endpointProbed(ev)
+	case ListingChecked:
+		s.listingChecked(ev)
 	case HistoryRead:
 		s.applyHistory(ev)
 	case StopRequested:
--- a/internal/scheduler/stream_lookup.go
+++ b/internal/scheduler/stream_lookup.go
@@ -12,9 +12,10 @@
 	// attempt have to answer before all are asked. lookupTime is how long all have.
 	lookupRoundTime = 60 * time.Millisecond
 	lookupTime      = 200 * time.Millisecond
-	// maxUnconfirmedTime is the age of the platform's list up to which an instance
-	// without contact to others relies on what it knows of a service's software.
-	maxUnconfirmedTime = 2500 * time.Millisecond
+	// listingCheckTime is how long the platform has beyond that to confirm the list, and
+	// listingCheckInterval the least time between two such checks.
+	listingCheckTime     = 75 * time.Millisecond
+	listingCheckInterval = 100 * time.Millisecond
 )
 
 // lookup is the search for the software that began a stream.
@@ -28,6 +29,8 @@
 	// once all were asked.
 	asked, pending, recorders []string
 	askedAll                  bool
+	// awaitsListing is set once only the platform's confirmation of the list is missing.
+	awaitsListing bool
 	// answers are those of instances without a record, answered their addresses.
 	answers  []OriginAnswer
 	answered []string
@@ -127,7 +130,7 @@
 func (s *State) reviewLookups(p *pool) {
 	for _, r := range slices.Clone(p.looking) {
 		elapsed := s.now.Sub(r.lookup.began)
-		if elapsed >= lookupTime || elapsed >= lookupRoundTime && !r.lookup.askedAll {
+		if elapsed >= lookupTime || elapsed >= lookupRoundTime && !r.lookup.askedAll || r.lookup.awaitsListing {
 			s.advanceLookup(r, p)
 		}
 	}
@@ -137,7 +140,7 @@
 // none and do not agree on the software, or concludes the lookup.
 func (s *State) advanceLookup(r *request, p *pool) {
 	l := r.lookup
-	if !l.askedAll && (len(l.answers) == 0 || s.inferOrigin(l) == origin.Unknown) {
+	if !l.askedAll && (len(l.answers) == 0 || s.inferOrigin(l, s.listedSince(l.began)) == origin.Unknown) {
 		l.askedAll = true
 		s.ask(l, addressesOf(s.rankedInstances(l.attempt, true)))
 		if len(l.pending) > 0 && s.now.Sub(l.began) < lookupTime {
@@ -153,8 +156,9 @@
 // agree: one that has restarted while several versions served has lost its records
 // and can't tell. One of them must have known of all software for as long as the
 // stream may have run: what instances list after they all have restarted does not show
-// which software left before.
-func (s *State) inferOrigin(l *lookup) origin.Software {
+// which software left before. listed is set if this instance knows of all software that
+// was listed until its caller took the stream up.
+func (s *State) inferOrigin(l *lookup, listed bool) origin.Software {
 	software, alone := s.history.Sole(l.services, origin.Time(s.now), l.memory)
 	covered := s.history.Covers(origin.Time(s.now), l.memory)
 	for _, a := range l.answers {
@@ -167,10 +171,8 @@
 	switch {
 	case !covered:
 		return origin.Unknown
-	case alone && (len(l.answers) > 0 || s.members.singleInstance() || s.configAge() <= maxUnconfirmedTime):
+	case alone && listed, s.members.singleInstance():
 		return software
-	case alone:
-		return origin.Unknown
 	}
 	// Others may have begun the stream at newer software. Of the two instances that
 	// would keep the record, one at least must have answered that it has none.
@@ -180,7 +182,7 @@
 			silent++
 		}
 	}
-	if silent > 1 || len(l.answers) == 0 && !s.members.singleInstance() {
+	if silent > 1 || len(l.answers) == 0 {
 		return origin.Unknown
 	}
 	return software
@@ -189,7 +191,10 @@
 // concludeLookup binds a request to the software that must have begun its stream,
 // or refuses it.
 func (s *State) concludeLookup(r *request, p *pool) {
-	software := s.inferOrigin(r.lookup)
+	software := s.inferOrigin(r.lookup, s.listedSince(r.lookup.began))
+	if software == origin.Unknown && s.awaitListing(r, p) {
+		return
+	}
 	if software == origin.Unknown {
 		s.count(CounterTakenUp, "unknown")
 		s.logUnknownOrigin(r)
@@ -200,6 +205,34 @@
 	s.originFound(r, p, software, "inferred")
 }
 
+// listedSince reports whether this instance knows of all software that was listed until
+// a time. One that was cut off or stood still does not, although it may not notice.
+func (s *State) listedSince(at Instant) bool { return s.platform.listedAt >= at }
+
+// awaitListing lets a request wait for the platform's confirmation of the list, if the
+// origin of its stream can be told with that, and reports whether it does.
+func (s *State) awaitListing(r *request, p *pool) bool {
+	l := r.lookup
+	if s.listedSince(l.began) || s.inferOrigin(l, true) == origin.Unknown || s.now.Sub(l.began) >= lookupTime+listingCheckTime {
+		return false
+	}
+	l.awaitsListing = true
+	p.looking = append(p.looking, r)
+	if s.now.Sub(s.listingCheckedAt) >= listingCheckInterval {
+		s.listingCheckedAt = s.now
+		s.emit(CheckListing{After: s.platform.position})
+	}
+	return true
+}
+
+// listingChecked applies the result of a CheckListing effect. After a change the list is
+// current once that has been read.
+func (s *State) listingChecked(ev ListingChecked) {
+	if ev.Unchanged && ev.After == s.platform.position {
+		s.platform.listedAt = max(s.platform.listedAt, ev.ReadAt)
+	}
+}
+
 // logUnknownOrigin logs what was known when the origin of a stream could not be told.
 func (s *State) logUnknownOrigin(r *request) {
 	l := r.lookup
@@ -215,7 +248,7 @@
 	}
 	s.log("stream_origin_unknown", "request", r.Name, "resumes", r.Resumes, "asked", len(l.asked),
 		"answers", len(l.answers), "answers_covered", covered, "answers_disagreeing", disagreeing,
-		"alone", alone, "covered", s.history.Covers(origin.Time(s.now), l.memory), "config_age_ms", s.configAge().Milliseconds())
+		"alone", alone, "covered", s.history.Covers(origin.Time(s.now), l.memory), "listed_since", s.listedSince(l.began), "config_age_ms", s.configAge().Milliseconds())
 }
 
 // originFound queues a request at the software that began its stream, or refuses it
--- a/internal/scheduler/stream_origin_test.go
+++ b/internal/scheduler/stream_origin_test.go
@@ -206,14 +206,15 @@
 	for name, c := range map[string]struct {
 		answer  *OriginAnswer
 		second  bool
-		offline bool
+		offline time.Duration
 		goesOn  bool
 	}{
 		"all know one":                         {answer: &OriginAnswer{Software: v1, Alone: true}, goesOn: true},
 		"another knows two":                    {answer: &OriginAnswer{}},
 		"another knows that the second is new": {answer: &OriginAnswer{Software: v1}, goesOn: true},
 		"no answer":                            {goesOn: true},
-		"no answer, no platform":               {offline: true},
+		"no answer, no platform":               {offline: 3 * time.Second},
+		"no answer, no platform for a moment":  {offline: 500 * time.Millisecond},
 		"second is new":                        {answer: &OriginAnswer{Software: v1}, second: true, goesOn: true},
 		"second is new, no answer":             {second: true},
 	} {
@@ -223,9 +224,8 @@
 			if c.second {
 				i.applyChanges(versionedEngine(1, 4, "v2"))
 			}
-			if c.offline {
-				i.advanceOffline(maxUnconfirmedTime + TickInterval)
-			}
+			i.platformDown = c.offline > 0
+			i.advanceOffline(c.offline)
 			i.reportFrom(otherAddr, nil)
 			i.reports = nil
 			id := i.takeUp("x")
@@ -235,10 +235,7 @@
 				a.Attempt = origin.AttemptOf("", "x")
 				i.reportFrom(otherAddr, func(r *Report) { r.OriginAnswers = []OriginAnswer{a} })
 			}
-			for range lookupTime / TickInterval {
-				i.now = i.now.Add(TickInterval)
-				i.step(Tick{})
-			}
+			i.advanceOffline(lookupTime + listingCheckTime)
 			must.Eq(t, c.goesOn, i.running(id))
 			if !c.goesOn {
 				must.Eq(t, StreamOriginUnknown, i.refusal(id).Reason)
@@ -247,6 +244,32 @@
 	}
 }
 
+// Guards against a stream that goes on at another version at an instance that was cut off
+// or stood still while the version joined that began it.
+func TestInstanceOutOfStepDoesNotInferAnOrigin(t *testing.T) {
+	for name, outOfStep := range map[string]func(*instance){
+		"cut off":      func(i *instance) { i.advanceOffline(time.Second) },
+		"stands still": func(i *instance) { i.now = i.now.Add(2 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := newVersionedInstance(t, 4, "v1")
+			i.reportFrom(otherAddr, nil)
+			i.advance(time.Minute)
+			i.reportFrom(otherAddr, nil)
+			i.platformDown = true
+			outOfStep(i)
+			id := i.takeUp("x")
+			i.advanceOffline(lookupTime)
+			must.False(t, i.running(id))
+			// The platform answers again, first of all with the new version.
+			i.applyChanges(versionedEngine(1, 4, "v2"))
+			i.advanceOffline(listingCheckTime)
+			must.False(t, i.running(id))
+			must.True(t, i.refusal(id).NotRun)
+		})
+	}
+}
+
 // Guards against a stream that goes on at the only software that instances list after
 // they all have restarted, although it began at software that had left before.
 func TestInstancesThatRestartedDoNotInferAnOrigin(t *testing.T) {
