--- a/internal/scheduler/departure.go
+++ b/internal/scheduler/departure.go
@@ -100,6 +100,7 @@
 			e.withdrawnUntil, e.withdrawnRevision = s.now.Add(goneRetention), d.Revision
 		} else {
 			e.Leaving = true
+			s.pool(e.Service).shares.stale = true
 		}
 	}
 }
--- a/internal/scheduler/draining.go
+++ b/internal/scheduler/draining.go
@@ -50,6 +50,7 @@
 	}
 	s.log("endpoint_leaving", "endpoint", e.ID, "from", from, "listed_leaving", e.Leaving, "last_dispatch_ms", s.sinceDispatch(e))
 	e.Leaving = true
+	s.pool(e.Service).shares.stale = true
 	return true
 }
 
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -206,10 +206,12 @@
 		s.tableAt = s.now
 	}
 	s.table = routing.NewTable(*c)
+	s.recordRoutes(c)
 	s.startedBehind = s.startedBehind && s.behind()
 	s.applyQuotas()
 	for _, e := range s.endpoints {
 		e.updateSlots(s.table)
+		s.pool(e.Service).shares.stale = true
 	}
 	s.emit(ConfigAdopted{Table: s.table})
 	s.log("config_adopted", "version", c.Version, "before", previous, "revision", revision,
--- a/internal/scheduler/platform_history.go
+++ b/internal/scheduler/platform_history.go
@@ -28,4 +28,5 @@
 		}
 	}
 	s.history.SetComplete()
+	s.addPastShares(ev.Changes)
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -29,6 +29,7 @@
 	// rank was dispatched out of order.
 	sinceLowestRank int
 	paths           servicePaths
+	shares          shareHistory
 	brittle         brittleService
 }
 
@@ -48,6 +49,7 @@
 }
 
 func (p *pool) add(e *endpoint) {
+	p.shares.stale = true
 	i := sort.Search(len(p.endpoints), func(i int) bool { return p.endpoints[i].ID >= e.ID })
 	if i < len(p.endpoints) && p.endpoints[i].ID == e.ID {
 		p.endpoints[i] = e
@@ -57,6 +59,7 @@
 }
 
 func (p *pool) remove(e *endpoint) {
+	p.shares.stale = true
 	p.endpoints = slices.DeleteFunc(p.endpoints, func(x *endpoint) bool { return x == e })
 }
 
@@ -166,23 +169,27 @@
 
 // firstPlaceable returns a queued request that some endpoint can take although
 // none can take the first in the queue. Requests differ in this only if one of
-// them has already been sent to an endpoint, or goes on with a stream.
+// them has already been sent to an endpoint, goes on with a stream, or has to begin at
+// certain software.
 func (s *State) firstPlaceable(p *pool) (*request, *endpoint) {
-	anyFailed := !p.waiting[0].constrained()
+	anyFailed := !s.constrained(p.waiting[0], p)
 	for _, r := range p.waiting[1:] {
-		if anyFailed && !r.constrained() {
+		constrained := s.constrained(r, p)
+		if anyFailed && !constrained {
 			continue
 		}
 		if e := s.chooseEndpoint(p, r); e != nil {
 			return r, e
 		}
-		anyFailed = anyFailed || !r.constrained()
+		anyFailed = anyFailed || !constrained
 	}
 	return nil, nil
 }
 
 // constrained reports whether the request may not be sent to every endpoint.
-func (r *request) constrained() bool { return len(r.tried) > 0 || r.bound }
+func (s *State) constrained(r *request, p *pool) bool {
+	return len(r.tried) > 0 || r.bound || s.assigned(r, p)
+}
 
 // chooseEndpoint returns the lowest-cost endpoint with capacity for r, or nil.
 // Endpoints that are not assigned to this instance are used only if no assigned
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -89,6 +89,10 @@
 	originsExpiredAt Instant
 	// historyRead is set once the platform was asked for its history.
 	historyRead bool
+	// routeServices holds where each route sends, by name, and routesMoved when that last
+	// changed.
+	routeServices map[string][]routing.Share
+	routesMoved   map[string]Instant
 	// listingCheckedAt is when the platform was last asked to confirm the list.
 	listingCheckedAt Instant
 	// recordersChanged is set if the instances that keep records may have changed.
@@ -172,6 +176,8 @@
 		trials:         map[crash.Cause]RequestID{},
 		origins:        origin.NewTable(maxOriginRecords),
 		history:        origin.NewHistory(),
+		routeServices:  map[string][]routing.Share{},
+		routesMoved:    map[string]Instant{},
 		zonesReached:   map[string]Instant{},
 		withUnanswered: map[crash.Incarnation]*endpoint{},
 		knownDraining:  map[crash.Incarnation]Instant{},
--- a/internal/scheduler/stream_lookup.go
+++ b/internal/scheduler/stream_lookup.go
@@ -21,6 +21,7 @@
 // lookup is the search for the software that began a stream.
 type lookup struct {
 	attempt  origin.Attempt
+	route    string
 	services []string
 	memory   time.Duration
 	began    Instant
@@ -44,7 +45,7 @@
 		s.originFound(r, p, record.Software, "recorded")
 		return
 	}
-	l := &lookup{attempt: attempt, services: r.services(), memory: softwareMemory(r.Route.Timeout), began: s.now}
+	l := &lookup{attempt: attempt, route: r.Route.Name, services: r.services(), memory: softwareMemory(r.Route.Timeout), began: s.now}
 	r.lookup = l
 	if r.Resumes != "" {
 		l.recorders = s.likelyRecordersOf(attempt)
@@ -159,6 +160,15 @@
 // which software left before. listed is set if this instance knows of all software that
 // was listed until its caller took the stream up.
 func (s *State) inferOrigin(l *lookup, listed bool) origin.Software {
+	software := s.soleOrigin(l, listed)
+	if software == origin.Unknown && listed {
+		return s.deriveOrigin(l)
+	}
+	return software
+}
+
+// soleOrigin is inferOrigin by the software that services are known to have run.
+func (s *State) soleOrigin(l *lookup, listed bool) origin.Software {
 	software, alone := s.history.Sole(l.services, origin.Time(s.now), l.memory)
 	covered := s.history.Covers(origin.Time(s.now), l.memory)
 	for _, a := range l.answers {
--- a/internal/scheduler/stream_origin.go
+++ b/internal/scheduler/stream_origin.go
@@ -132,7 +132,10 @@
 // mayRun reports whether a request may be sent to an endpoint as far as its
 // software is concerned.
 func (s *State) mayRun(r *request, e *endpoint) bool {
-	return !r.bound || r.software != origin.Unknown && s.softwareOf(e) == r.software
+	if !r.bound {
+		return s.mayBegin(r, e)
+	}
+	return r.software != origin.Unknown && s.softwareOf(e) == r.software
 }
 
 // softwareServes reports whether the stream of a request can go on at some endpoint
