--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -84,4 +84,9 @@
 	// received; zero if none.
 	InstanceHeader(caller http.Header, remaining time.Duration, lastEventID int64) http.Header
 	ParseAnswer(status int, header http.Header) AnswerInfo
+	// RunsPath is the path at which an endpoint says which attempts it is running.
+	// ParseRuns returns the IDs of those whose answers have begun from the body of its
+	// answer, and when its process has started in Unix milliseconds; zero if not stated.
+	RunsPath() string
+	ParseRuns(body []byte) (ids []string, started int64, err error)
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -61,6 +61,12 @@
 	return AnswerInfo{NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
 }
 
+func (testDialect) RunsPath() string { return "/runs" }
+
+func (testDialect) ParseRuns(body []byte) ([]string, int64, error) {
+	return strings.Fields(string(body)), 0, nil
+}
+
 // testGateway is a gateway with a scheduler and raw TCP endpoints.
 type testGateway struct {
 	t       *testing.T
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -127,6 +127,8 @@
 		h.deliverDecision(e.ID, e)
 	case scheduler.ProbeEndpoint:
 		go h.probe(e)
+	case scheduler.ReadRuns:
+		go h.readRuns(e)
 	case scheduler.ProbePath:
 		go h.probePath(e)
 	case scheduler.ConfigAdopted:
--- a/internal/gossip/codec_origin.go
+++ b/internal/gossip/codec_origin.go
@@ -18,7 +18,7 @@
 	}
 	for _, q := range r.OriginQueries {
 		m.OriginQueries = append(m.OriginQueries, &gossippb.OriginQuery{
-			Attempt: uint64(q.Attempt), Services: q.Services, MemoryMs: uint32(q.Memory.Milliseconds()),
+			Attempt: uint64(q.Attempt), Run: uint64(q.Run), Services: q.Services, MemoryMs: uint32(q.Memory.Milliseconds()),
 		})
 	}
 	for _, a := range r.OriginAnswers {
@@ -41,7 +41,7 @@
 	}
 	for _, q := range m.GetOriginQueries() {
 		r.OriginQueries = append(r.OriginQueries, scheduler.OriginQuery{
-			Attempt: origin.Attempt(q.GetAttempt()), Services: q.GetServices(), Memory: time.Duration(q.GetMemoryMs()) * time.Millisecond,
+			Attempt: origin.Attempt(q.GetAttempt()), Run: origin.Attempt(q.GetRun()), Services: q.GetServices(), Memory: time.Duration(q.GetMemoryMs()) * time.Millisecond,
 		})
 	}
 	for _, a := range m.GetOriginAnswers() {
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -33,7 +33,7 @@
 		Origins: []scheduler.StreamOrigin{
 			{Attempt: 11, Software: 12, Dispatch: 2, Remaining: 1500 * time.Millisecond}, {Attempt: 13},
 		},
-		OriginQueries: []scheduler.OriginQuery{{Attempt: 14, Services: []string{"s", "t"}, Memory: 30 * time.Second}},
+		OriginQueries: []scheduler.OriginQuery{{Attempt: 14, Run: 18, Services: []string{"s", "t"}, Memory: 30 * time.Second}},
 		OriginAnswers: []scheduler.OriginAnswer{{Attempt: 15, Recorded: true, Software: 16}, {Attempt: 17, Alone: true, Covered: true}},
 		Brittle: []scheduler.BrittleStatement{
 			{Service: "s", Brittleness: scheduler.Brittleness{Named: true, Rejections: 3}, SentAge: 30 * time.Millisecond, ReceivedAge: 20 * time.Millisecond, Room: 2, RoomAge: time.Second},
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -34,6 +34,9 @@
 // here: what AddPast has added.
 func (h *History) SetComplete() { h.complete = true }
 
+// Complete reports whether SetComplete was called.
+func (h *History) Complete() bool { return h.complete }
+
 // Covers reports whether the history includes all software that was listed within a
 // time. After a start the first listing does not show what was removed before.
 func (h *History) Covers(now Time, within time.Duration) bool {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -26,6 +26,10 @@
 // caller's organisation. Organisations choose their IDs independently.
 func AttemptOf(organisation, id string) Attempt { return Attempt(hash(organisation, id)) }
 
+// RunOf returns the identity of an attempt from its ID alone, as endpoints know it, which
+// differs from any that AttemptOf returns for an organisation.
+func RunOf(id string) Attempt { return Attempt(hash("\x00run", id)) }
+
 func hash(a, b string) uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(a)
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -44,6 +44,8 @@
 		Waited    time.Duration
 		LogFields []any
 	}
+	// ReadRuns asks an endpoint which attempts it is running. RunsRead must follow.
+	ReadRuns struct{ Endpoint directory.Endpoint }
 	// CheckListing asks the platform whether anything has changed after a position.
 	// ListingChecked must follow.
 	CheckListing struct{ After directory.Position }
@@ -103,6 +105,7 @@
 func (Dispatch) effect()        {}
 func (Forward) effect()         {}
 func (ProbePath) effect()       {}
+func (ReadRuns) effect()        {}
 func (CheckListing) effect()    {}
 func (ReadHistory) effect()     {}
 func (ProbeEndpoint) effect()   {}
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -182,6 +182,14 @@
 		Reason     Reason
 		RetryAfter time.Duration
 	}
+	// RunsRead reports the result of a ReadRuns effect: the IDs of the attempts whose
+	// streams have begun, none if it failed, and when the process has started that
+	// answered; zero if unknown.
+	RunsRead struct {
+		Endpoint string
+		Started  int64
+		Runs     []string
+	}
 	// ListingChecked reports the result of a CheckListing effect. Unchanged is set if
 	// nothing had changed after a position when the platform was read at ReadAt.
 	ListingChecked struct {
@@ -228,6 +236,7 @@
 func (AttemptEnded) event()    {}
 func (ForwardEnded) event()    {}
 func (PathProbed) event()      {}
+func (RunsRead) event()        {}
 func (ListingChecked) event()  {}
 func (HistoryRead) event()     {}
 func (DirectoryRead) event()   {}
@@ -375,6 +384,8 @@
 // OriginQuery asks which software began the stream of an attempt.
 type OriginQuery struct {
 	Attempt origin.Attempt
+	// Run is the attempt as endpoints know it.
+	Run origin.Attempt
 	// Services are those to which the request's route sends, Memory how long ago the
 	// stream may have begun.
 	Services []string
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -34,6 +34,8 @@
 	// platform does not have it any more.
 	history     []directory.Change
 	historyGone bool
+	// runReads are the reads of runs at endpoints.
+	runReads []ReadRuns
 	// platformDown is set while the platform does not confirm its list.
 	platformDown bool
 	// reportsSent is the number of reports of reportFrom.
@@ -80,6 +82,8 @@
 				result = ProbeUnknown
 			}
 			i.step(PathProbed{Endpoint: e.Endpoint, Result: result})
+		case ReadRuns:
+			i.runReads = append(i.runReads, e)
 		case CheckListing:
 			i.step(ListingChecked{After: e.After, ReadAt: i.now, Unchanged: !i.platformDown})
 		case ReadHistory:
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -89,6 +89,8 @@
 	originsExpiredAt Instant
 	// historyRead is set once the platform was asked for its history.
 	historyRead bool
+	// runsRead is set once it was decided whether endpoints are asked for their runs.
+	runsRead bool
 	// routeServices holds where each route sends, by name, and routesMoved when that last
 	// changed.
 	routeServices map[string][]routing.Share
@@ -219,6 +221,8 @@
 		s.members.seedsChanged(ev.Seeds)
 	case EndpointProbed:
 		s.endpointProbed(ev)
+	case RunsRead:
+		s.applyRuns(ev)
 	case ListingChecked:
 		s.listingChecked(ev)
 	case HistoryRead:
@@ -251,6 +255,7 @@
 
 func (s *State) tick() {
 	s.readHistory()
+	s.readRuns()
 	s.expireQueued()
 	s.expireLapsedEndpoints()
 	s.releaseHeldEntries()
--- a/internal/scheduler/stream_lookup.go
+++ b/internal/scheduler/stream_lookup.go
@@ -21,6 +21,7 @@
 // lookup is the search for the software that began a stream.
 type lookup struct {
 	attempt  origin.Attempt
+	run      origin.Attempt
 	route    string
 	services []string
 	memory   time.Duration
@@ -41,11 +42,14 @@
 // is bound, refused, or waits for the answers of other instances.
 func (s *State) findOrigin(r *request, p *pool) {
 	attempt := r.originAttempt()
-	if record, known := s.origins.Lookup(attempt); known && r.Resumes != "" {
-		s.originFound(r, p, record.Software, "recorded")
-		return
+	run := origin.RunOf(r.Resumes)
+	if r.Resumes != "" {
+		if record, known := s.recordedOrigin(attempt, run); known {
+			s.originFound(r, p, record.Software, "recorded")
+			return
+		}
 	}
-	l := &lookup{attempt: attempt, route: r.Route.Name, services: r.services(), memory: softwareMemory(r.Route.Timeout), began: s.now}
+	l := &lookup{attempt: attempt, run: run, route: r.Route.Name, services: r.services(), memory: softwareMemory(r.Route.Timeout), began: s.now}
 	r.lookup = l
 	if r.Resumes != "" {
 		l.recorders = s.likelyRecordersOf(attempt)
@@ -58,6 +62,14 @@
 	p.looking = append(p.looking, r)
 }
 
+// recordedOrigin returns the record of an attempt, or of its run at an endpoint.
+func (s *State) recordedOrigin(attempt, run origin.Attempt) (origin.Record, bool) {
+	if record, known := s.origins.Lookup(attempt); known {
+		return record, true
+	}
+	return s.origins.Lookup(run)
+}
+
 // ask sends the query of a lookup to those of the instances that are reachable and
 // were not asked before.
 func (s *State) ask(l *lookup, addresses []string) {
@@ -71,7 +83,7 @@
 	l.asked = append(l.asked, addresses...)
 	l.pending = append(l.pending, addresses...)
 	report := s.partialReport()
-	report.OriginQueries = []OriginQuery{{Attempt: l.attempt, Services: l.services, Memory: l.memory}}
+	report.OriginQueries = []OriginQuery{{Attempt: l.attempt, Run: l.run, Services: l.services, Memory: l.memory}}
 	s.emit(SendReport{To: addresses, Report: report})
 }
 
@@ -83,7 +95,7 @@
 	report := s.partialReport()
 	for _, q := range queries {
 		answer := OriginAnswer{Attempt: q.Attempt}
-		if record, known := s.origins.Lookup(q.Attempt); known {
+		if record, known := s.recordedOrigin(q.Attempt, q.Run); known {
 			answer.Recorded, answer.Software = true, record.Software
 		} else {
 			answer.Software, answer.Alone = s.history.Sole(q.Services, origin.Time(s.now), q.Memory)
