--- a/internal/scheduler/stream_runs_test.go
+++ b/internal/scheduler/stream_runs_test.go
@@ -59,9 +59,11 @@
 		change func(*instance)
 		reads  int
 	}{
-		"all restarted":           {func(i *instance) { i.reportFrom(otherAddr, nil) }, 2},
-		"no contact":              {func(*instance) {}, 2},
-		"another knows":           {func(i *instance) { i.reportFrom(otherAddr, func(r *Report) { r.Partial, r.Age, r.InstanceCount = false, time.Minute, 3 }) }, 0},
+		"all restarted": {func(i *instance) { i.reportFrom(otherAddr, nil) }, 2},
+		"no contact":    {func(*instance) {}, 2},
+		"another knows": {func(i *instance) {
+			i.reportFrom(otherAddr, func(r *Report) { r.Partial, r.Age, r.InstanceCount = false, time.Minute, 3 })
+		}, 0},
 		"the platform knows":      {func(i *instance) { i.step(HistoryRead{Complete: true}) }, 0},
 		"no engines":              {func(i *instance) { i.configure(routing.Config{Version: 2}) }, 0},
 		"no configuration before": {func(i *instance) { i.s.table = nil }, 0},
