--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -189,7 +189,7 @@
 	e.lapsedAt = 0
 	e.updateSlots(s.table)
 	s.pool(entry.Service).add(e)
-	s.softwareShares(s.pool(entry.Service))
+	s.recordShares(s.pool(entry.Service))
 	if added {
 		s.assignBrittleOwners(s.pool(entry.Service))
 	}
@@ -232,7 +232,7 @@
 	s.limitRemoved(e)
 	s.endpointForgotten(e)
 	s.pool(e.Service).remove(e)
-	s.softwareShares(s.pool(e.Service))
+	s.recordShares(s.pool(e.Service))
 }
 
 // expireLapsedEndpoints removes the endpoints whose entry had lapsed during a
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -140,6 +140,7 @@
 
 func (s *State) applyBatch(u directory.Update) {
 	listed := map[string]bool{}
+	s.listingAll = u.Full
 	for _, c := range u.Batch.Changes {
 		if c.Problem != "" {
 			s.log("entry_unusable", "endpoint", c.EndpointID, "revision", c.Revision, "problem", c.Problem)
@@ -171,8 +172,10 @@
 			}
 		}
 	}
+	s.listingAll = false
 	s.initNewEndpoints()
 	for _, p := range s.poolOrder {
+		s.recordShares(p)
 		s.dispatchWaiting(p)
 	}
 }
--- a/internal/scheduler/platform_history.go
+++ b/internal/scheduler/platform_history.go
@@ -12,7 +12,9 @@
 		return
 	}
 	s.historyRead = true
-	s.emit(ReadHistory{})
+	if !s.history.Covers(origin.Time(s.now), minSoftwareMemory) {
+		s.emit(ReadHistory{})
+	}
 }
 
 // applyHistory adds the software of endpoints that served before this instance started. A
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -40,6 +40,8 @@
 	// one that began it. sentTo is the software of the current endpoint.
 	bound            bool
 	software, sentTo origin.Software
+	// assignment is where the stream has to begin while several versions serve.
+	assignment assignment
 	// dispatches is the number of dispatches that may have begun the stream.
 	dispatches int
 	// lookup is the search for the software that began the stream, or nil.
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -95,6 +95,8 @@
 	// changed.
 	routeServices map[string][]routing.Share
 	routesMoved   map[string]Instant
+	// listingAll is set while a full listing is applied, whose order means nothing.
+	listingAll bool
 	// listingCheckedAt is when the platform was last asked to confirm the list.
 	listingCheckedAt Instant
 	// recordersChanged is set if the instances that keep records may have changed.
--- a/internal/scheduler/stream_assignment.go
+++ b/internal/scheduler/stream_assignment.go
@@ -17,6 +17,8 @@
 // shareHistory is the capacity of a service's endpoints by software, now and before.
 type shareHistory struct {
 	current []origin.Share
+	// generation counts the changes of current.
+	generation uint64
 	// stale is set if the endpoints have changed since current was determined.
 	stale bool
 	past  []pastShares
@@ -37,11 +39,20 @@
 		if shares := sharesOf(p.endpoints); !slices.Equal(shares, h.current) {
 			h.retire(s.now)
 			h.current = shares
+			h.generation++
 		}
 	}
 	return h.current
 }
 
+// recordShares notes a change of the list, in which attempts of other instances may begin
+// although this one sends nothing.
+func (s *State) recordShares(p *pool) {
+	if !s.listingAll {
+		s.softwareShares(p)
+	}
+}
+
 // retire keeps the current shares as those that were in force until a time.
 func (h *shareHistory) retire(until Instant) {
 	h.past = slices.DeleteFunc(h.past, func(x pastShares) bool { return until.Sub(x.until) > maxSoftwareMemory })
@@ -80,7 +91,21 @@
 // mayBegin reports whether the stream of a request may begin at an endpoint.
 func (s *State) mayBegin(r *request, e *endpoint) bool {
 	p := s.pool(e.Service)
-	return !s.assigned(r, p) || origin.Assign(r.originAttempt(), s.softwareShares(p)) == e.software
+	if !s.assigned(r, p) {
+		return true
+	}
+	if r.assignment.pool != p || r.assignment.generation != p.shares.generation {
+		r.assignment = assignment{p, p.shares.generation, origin.Assign(r.originAttempt(), s.softwareShares(p))}
+	}
+	return r.assignment.software == e.software
+}
+
+// assignment is the software at which a request has to begin in a generation of the shares
+// of a pool.
+type assignment struct {
+	pool       *pool
+	generation uint64
+	software   origin.Software
 }
 
 // deriveOrigin returns the software to which an attempt was assigned, or Unknown if that
