--- a/internal/directory/replica_test.go
+++ b/internal/directory/replica_test.go
@@ -194,3 +194,34 @@
 	must.Eq(t, "", w.read(t.Context()).From)
 	must.Eq(t, []string{"list", "watch 5ns", "watch 10ns"}, s.reads)
 }
+
+// Guards against an entry that can't be used and hides the others from instances that read
+// through this one, or stops them.
+func TestUnusableEntryPassesThroughRelay(t *testing.T) {
+	r := newListedReplica()
+	server := httptest.NewServer(RelayHandler(r, func() int64 { return 100 }))
+	defer server.Close()
+	relay := &Relay{Address: server.Listener.Addr().String(), Client: server.Client()}
+	r.Apply(Update{ReadAt: 100, Batch: Batch{Revision: 13, Changes: []Change{
+		{Revision: 11, EndpointID: "odd\xff", Problem: "entry: exceeded max depth\xff"}, {Revision: 12, Problem: "value"}, putChange("c", 13),
+	}}})
+	all, err := relay.List(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, 13, all.Revision)
+	ids := map[string]bool{}
+	for _, c := range all.Changes {
+		if c.Endpoint != nil {
+			ids[c.EndpointID] = true
+		}
+	}
+	must.Eq(t, map[string]bool{"a": true, "b": true, "c": true}, ids)
+	since, err := relay.Watch(t.Context(), Position{Revision: 10}, 0)
+	must.NoError(t, err)
+	must.Eq(t, 13, since.Revision)
+	must.Eq(t, "c", since.Changes[len(since.Changes)-1].EndpointID)
+	// The next change is read too.
+	r.Apply(Update{ReadAt: 100, Batch: Batch{Revision: 14, Changes: []Change{deleteChange("c", 14)}}})
+	since, err = relay.Watch(t.Context(), Position{Revision: 13}, 0)
+	must.NoError(t, err)
+	must.Eq(t, []int64{14}, revisions(since))
+}
