--- a/internal/scheduler/stream_assignment.go
+++ b/internal/scheduler/stream_assignment.go
@@ -115,7 +115,7 @@
 	if _, alone := s.history.Sole(l.services, origin.Time(s.now), l.memory); alone {
 		return origin.Unknown
 	}
-	if len(l.services) != 1 || !s.history.Covers(origin.Time(s.now), l.memory) {
+	if l.unnamed || len(l.services) != 1 || !s.history.Covers(origin.Time(s.now), l.memory) {
 		return origin.Unknown
 	}
 	if at, moved := s.routesMoved[l.route]; moved && s.now.Sub(at) <= l.memory+maxListingLag {
--- a/internal/scheduler/stream_lookup.go
+++ b/internal/scheduler/stream_lookup.go
@@ -20,8 +20,12 @@
 
 // lookup is the search for the software that began a stream.
 type lookup struct {
-	attempt  origin.Attempt
-	run      origin.Attempt
+	attempt origin.Attempt
+	// run is the attempt as endpoints know it. unnamed is set if the caller did not say
+	// which attempt began the stream; the two then mean nothing.
+	run     origin.Attempt
+	unnamed bool
+	// route is the name of the request's route.
 	route    string
 	services []string
 	memory   time.Duration
@@ -49,7 +53,10 @@
 			return
 		}
 	}
-	l := &lookup{attempt: attempt, run: run, route: r.Route.Name, services: r.services(), memory: softwareMemory(r.Route.Timeout), began: s.now}
+	l := &lookup{
+		attempt: attempt, run: run, unnamed: r.Resumes == "", route: r.Route.Name,
+		services: r.services(), memory: softwareMemory(r.Route.Timeout), began: s.now,
+	}
 	r.lookup = l
 	if r.Resumes != "" {
 		l.recorders = s.likelyRecordersOf(attempt)
--- a/internal/scheduler/stream_origin_test.go
+++ b/internal/scheduler/stream_origin_test.go
@@ -347,9 +347,12 @@
 	for name, c := range map[string]struct {
 		history []directory.Change
 		gone    bool
-		goOn    string
+		// goOn is the version at which some streams go on, none of which began
+		// elsewhere according to began, if that is set.
+		goOn  string
+		began map[string]string
 	}{
-		"the last endpoint of a version has left": {history: []directory.Change{v1, v2, config, more, removed}, goOn: "v2"},
+		"the last endpoint of a version has left": {history: []directory.Change{v1, v2, config, more, removed}, goOn: "v2", began: began},
 		"nothing began before the configuration":  {history: []directory.Change{v1, removed, v2, config, more}, goOn: "v2"},
 		"one version only before the other":       {history: []directory.Change{config, v1, v2, more, removed}},
 		"platform has no history":                 {gone: true},
@@ -362,15 +365,18 @@
 			i.configure(routing.Config{Version: 1})
 			i.applyChanges(v2, more)
 			i.advance(TickInterval)
+			unnamed := i.takeUp("")
+			i.advance(lookupTime + listingCheckTime)
+			must.Eq(t, StreamOriginUnknown, i.refusal(unnamed).Reason)
 			goOn := 0
-			for name, version := range began {
+			for name := range began {
 				id := i.takeUp(name)
 				i.advance(lookupTime + listingCheckTime)
 				if i.running(id) {
 					goOn++
 					must.Eq(t, c.goOn, i.versionOf(id))
-					if name := c.history; name[0].Config == nil && name[1].EndpointID == "e1" {
-						must.Eq(t, version, i.versionOf(id))
+					if c.began != nil {
+						must.Eq(t, c.began[name], i.versionOf(id))
 					}
 					i.end(id, Attempt{Outcome: Completed})
 				}
