Gateway: request bodies take memory as they arrive, from one budget

A declared length was allocated whole before a byte of the body had come, and only finished bodies were counted, so that a few clients that declared 4 MiB each ended the process. The buffer now grows with what arrives, each growth is taken from the byte budget first, and clients without progress are evicted with a 503 that has not run. The time limit of a body is one on time without progress.

--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/boottime"
+	"github.com/balsamstair/balsamstair/internal/bytebudget"
+	"github.com/balsamstair/balsamstair/internal/clientconn"
 	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
 	"github.com/balsamstair/balsamstair/internal/gateway"
@@ -55,6 +57,12 @@
 	// runtime's soft limit, bodiesFraction the fraction for bodies of requests.
 	memoryLimitFraction = 0.7
 	bodiesFraction      = 0.2
+	// reservedFraction is the part of the memory for clients that large requests
+	// cannot take.
+	reservedFraction = 0.25
+	// stallAfter is the time without progress from which a client's connection
+	// may be closed if memory is short. It is some hundred round trips.
+	stallAfter = time.Second
 	// callerHeaderTimeout and callerHeaderBytes limit a request's header where
 	// the configuration has no limit, or a higher one.
 	callerHeaderTimeout = 10 * time.Second
@@ -127,7 +135,12 @@
 		Post:        d.loop.Post,
 		Log:         log.Named("gateway"),
 		Counters:    d.counters,
-		BodiesBytes: int64(bodiesFraction * float64(cfg.Limits.MemoryMB<<20)),
+		Budget: bytebudget.New(bytebudget.Config{
+			Bytes:         int64(bodiesFraction * float64(cfg.Limits.MemoryMB<<20)),
+			ReservedBytes: int64(bodiesFraction * reservedFraction * float64(cfg.Limits.MemoryMB<<20)),
+			SmallBytes:    clientconn.SmallBytes,
+			StallAfter:    stallAfter,
+		}),
 	})
 	d.gossip = gossip.New(gossip.Config{
 		Address:  cfg.GossipAddress,
--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -159,6 +159,18 @@
 	h.Progress(now)
 }
 
+// StartServing sets the state to Serving. It returns false if h was named for
+// eviction before; otherwise it is not evicted while it stays in this state.
+func (h *Holder) StartServing(now time.Time) bool {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.evicted.Load() {
+		return false
+	}
+	h.SetState(Serving, now)
+	return true
+}
+
 // Progress sets the time of the last progress.
 func (h *Holder) Progress(now time.Time) { h.progressed.Store(now.UnixNano()) }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/bytebudget"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
 	"github.com/balsamstair/balsamstair/internal/origin"
 	"github.com/balsamstair/balsamstair/internal/routing"
@@ -28,6 +29,14 @@
 	org     *routing.Organisation
 	version int64
 	body    []byte
+	// holder counts the memory that the request occupies, heldBytes is the part of
+	// it that is returned when the request ends. ownHolder is set if holder is not
+	// that of a connection.
+	holder    *bytebudget.Holder
+	heldBytes int64
+	ownHolder bool
+	// bodyComplete is set once the body was read to its end.
+	bodyComplete bool
 	// fingerprint is equal for requests with the same caller, path and body.
 	fingerprint uint64
 	started     time.Time
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/boottime"
+	"github.com/balsamstair/balsamstair/internal/bytebudget"
 	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
 	"github.com/balsamstair/balsamstair/internal/logline"
@@ -107,7 +108,8 @@
 		Instances:   endpoint.New(endpoint.Config{RequestIDHeader: "Id", ConnectTimeout: time.Second}),
 		Incarnation: testIncarnation,
 		Dialect:     testDialect{}, Now: now, Post: s.loop.Post, Log: logline.Discard(),
-		Counters: operator.NewCounters(), BodiesBytes: 1 << 20,
+		Counters: operator.NewCounters(),
+		Budget:   bytebudget.New(bytebudget.Config{Bytes: 16 << 20, SmallBytes: 64 << 10, StallAfter: time.Second}),
 	})
 	s.loop.AddEffectHandlers(s.handler.HandleEffect, func(e scheduler.Effect) bool {
 		_, readsHistory := e.(scheduler.ReadHistory)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -58,6 +58,7 @@
 // for instances only.
 func (h *Handler) ServeForwarded(w http.ResponseWriter, r *http.Request) {
 	x := h.newExchange(w, r)
+	defer x.releaseMemory()
 	x.forwarding = &scheduler.Forwarding{}
 	to, err := strconv.ParseUint(r.Header.Get(headerForwardTo), 16, 64)
 	if err != nil || to != h.cfg.Incarnation {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/bytebudget"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
 	"github.com/balsamstair/balsamstair/internal/logline"
 	"github.com/balsamstair/balsamstair/internal/operator"
@@ -26,17 +27,13 @@
 	// configuration. It is longer than the time between two responses of the
 	// platform.
 	maxConfigAgeForDenial = 2500 * time.Millisecond
-	// bodyTimeout bounds the time to read a request body.
-	bodyTimeout = 10 * time.Second
 	// requestLogsPerSecond and requestLogBurst limit the log lines about
 	// single requests; lines over the limit are counted.
 	requestLogsPerSecond = 300
 	requestLogBurst      = 600
 	// writeGrace is how long after a request's deadline its caller may take to
-	// read the end of the answer.
+	// read the end of the answer, on connections without limits of their own.
 	writeGrace = time.Second
-	// defaultBodyBytes is the body limit if the configuration sets none.
-	defaultBodyBytes = 4 << 20
 )
 
 // Reasons for refusals without a decision of the scheduler.
@@ -47,6 +44,7 @@
 	reasonHeadersTooLarge = "head_too_large"
 	reasonBadBody         = "bad_body"
 	reasonBodiesLimit     = "bodies_limit"
+	reasonEvicted         = "client_evicted"
 )
 
 // Config configures a Handler.
@@ -63,9 +61,11 @@
 	Post     func(scheduler.Event)
 	Log      *logline.Logger
 	Counters *operator.Counters
-	// BodiesBytes limits the total size of the bodies of all requests in
-	// progress.
-	BodiesBytes int64
+	// Budget limits the memory that the clients of all requests occupy.
+	Budget *bytebudget.Budget
+	// BodyStall bounds the time without progress while a request body is read. The
+	// default is 10 s.
+	BodyStall time.Duration
 }
 
 // Handler serves callers' requests.
@@ -78,11 +78,12 @@
 	// configConfirmedAt is the time as of which the configuration was last
 	// known to be the newest.
 	configConfirmedAt atomic.Int64
-	bodyBytesInUse    atomic.Int64
-	logLimiter        *rate.Limiter
-	latency           *operator.Histogram
-	firstByte         *operator.Histogram
-	queueDelay        *operator.Histogram
+	// forwardedBytes is the size of the buffers of requests of other instances.
+	forwardedBytes atomic.Int64
+	logLimiter     *rate.Limiter
+	latency        *operator.Histogram
+	firstByte      *operator.Histogram
+	queueDelay     *operator.Histogram
 
 	mu       sync.Mutex
 	inFlight map[scheduler.RequestID]*exchange
@@ -91,6 +92,9 @@
 // NewHandler returns a Handler that refuses all requests until a configuration
 // is adopted.
 func NewHandler(cfg Config) *Handler {
+	if cfg.BodyStall <= 0 {
+		cfg.BodyStall = defaultBodyStall
+	}
 	h := &Handler{
 		cfg:        cfg,
 		inFlight:   map[scheduler.RequestID]*exchange{},
@@ -160,14 +164,20 @@
 func (h *Handler) post(ev scheduler.Event) { h.cfg.Post(ev) }
 
 // ServeHTTP implements http.Handler.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serve(h.newExchange(w, r)) }
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := h.newExchange(w, r)
+	defer x.releaseMemory()
+	h.serve(x)
+}
 
 func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
-	return &exchange{
+	x := &exchange{
 		h: h, w: w, r: r, started: time.Now(),
 		info:      h.cfg.Dialect.ParseRequest(r.Header),
 		decisions: make(chan scheduler.Effect, 2),
 	}
+	x.hold()
+	return x
 }
 
 func (h *Handler) serve(x *exchange) {
@@ -180,8 +190,6 @@
 		x.refuseLocally(status, reason)
 		return
 	}
-	h.bodyBytesInUse.Add(int64(len(x.body)))
-	defer h.bodyBytesInUse.Add(-int64(len(x.body)))
 	x.schedule(table)
 	h.finish(x)
 }
@@ -190,6 +198,7 @@
 func (x *exchange) refuseLocally(status int, reason string) {
 	x.reason = scheduler.Reason(reason)
 	x.notRun = true
+	x.leaveBody()
 	x.writeFailure(status, x.h.retryAfterLocalRefusal(status, x))
 	x.h.finish(x)
 }
@@ -251,53 +260,6 @@
 	return size
 }
 
-// readBody reads the complete body, or returns the status and reason of a
-// refusal.
-func (x *exchange) readBody(limits routing.Limits) (int, string) {
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		return http.StatusRequestEntityTooLarge, reasonBodyTooLarge
-	}
-	bodies := x.h.cfg.BodiesBytes
-	if x.forwarding != nil {
-		bodies = int64(forwardedBodiesFraction * float64(bodies))
-	}
-	if x.h.bodyBytesInUse.Load()+max(x.r.ContentLength, 0) > bodies {
-		return http.StatusServiceUnavailable, reasonBodiesLimit
-	}
-	if x.r.ContentLength == 0 {
-		return 0, ""
-	}
-	control := http.NewResponseController(x.w)
-	if err := control.SetReadDeadline(x.started.Add(bodyTimeout)); err != nil {
-		return http.StatusServiceUnavailable, reasonBadBody
-	}
-	body, err := readRequestBody(x.r, limit)
-	if err != nil {
-		return http.StatusBadRequest, reasonBadBody
-	}
-	if int64(len(body)) > limit {
-		return http.StatusRequestEntityTooLarge, reasonBodyTooLarge
-	}
-	x.body = body
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return http.StatusServiceUnavailable, reasonBadBody
-	}
-	return 0, ""
-}
-
-func readRequestBody(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	return io.ReadAll(io.LimitReader(r.Body, limit+1))
-}
-
 // schedule submits the request to the scheduler and executes its decisions.
 func (x *exchange) schedule(table *routing.Table) {
 	h := x.h
--- /dev/null
+++ b/internal/gateway/intake_test.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamstair/balsamstair/internal/bytebudget"
+	"github.com/shoenig/test/must"
+)
+
+// withBudget gives the gateway a budget of its own before its first request.
+func (s *testGateway) withBudget(bytes int64) *bytebudget.Budget {
+	b := bytebudget.New(bytebudget.Config{
+		Bytes: bytes, ReservedBytes: bytes / 4, SmallBytes: 64 << 10, StallAfter: 50 * time.Millisecond,
+	})
+	s.handler.cfg.Budget = b
+	return b
+}
+
+// startRequest opens a connection and sends a request's head and text, which may be
+// a part of its body.
+func (s *testGateway) startRequest(framing, text string) net.Conn {
+	conn, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	must.NoError(s.t, err)
+	s.t.Cleanup(func() { conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /x/1 HTTP/1.1\r\nHost: h.example\r\nId: id-1\r\nKey: k\r\n%s\r\n\r\n%s", framing, text)
+	must.NoError(s.t, err)
+	return conn
+}
+
+// readAnswer returns an answer's status and whether the connection is closed after
+// it.
+func readAnswer(t *testing.T, conn net.Conn) (status int, closes bool) {
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	must.NoError(t, err)
+	return response.StatusCode, response.Close
+}
+
+// Guards against memory that is allocated for what a client declares: many clients
+// that declare large bodies and send little ended the process.
+func TestDeclaredLengthTakesNoMemory(t *testing.T) {
+	s := newTestGateway(t, 1, config(nil), replyWith(okAnswer, true))
+	budget := s.withBudget(2 << 20)
+	for range 40 {
+		s.startRequest("Content-Length: 4194304", "x")
+	}
+	eventually(t, func() bool { return budget.Used() == 40*firstBodyBytes })
+	response, _, err := s.do(nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+}
+
+// Guards against a request within the limits that is refused in calm conditions, and
+// against memory that is not returned.
+func TestLargestBodyIsServed(t *testing.T) {
+	s := newTestGateway(t, 1, config(nil), replyWith(okAnswer, true))
+	budget := s.withBudget(9 << 20)
+	body := strings.Repeat("x", defaultBodyBytes)
+	for _, chunked := range []bool{false, true} {
+		response, _, err := s.do(func(r *http.Request) {
+			r.Body = io.NopCloser(strings.NewReader(body))
+			if r.ContentLength = int64(len(body)); chunked {
+				r.ContentLength = -1
+			}
+		})
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, response.StatusCode)
+		eventually(t, func() bool { return budget.Used() == 0 && budget.Holders() == 0 })
+	}
+	for _, r := range s.requests() {
+		must.Eq(t, len(body), len(r.body))
+	}
+}
+
+// Guards against a body over the limit that is read to its end.
+func TestBodyOverLimitIsRefused(t *testing.T) {
+	c := config(nil)
+	c.Limits.BodyBytes = 1000
+	s := newTestGateway(t, 1, c, replyWith(okAnswer, true))
+	budget := s.withBudget(2 << 20)
+	for _, framing := range []string{"Content-Length: 1001", "Content-Length: 1000000000", "Transfer-Encoding: chunked"} {
+		conn := s.startRequest(framing, chunk(strings.Repeat("x", 1001)))
+		status, _ := readAnswer(t, conn)
+		must.Eq(t, http.StatusRequestEntityTooLarge, status)
+	}
+	must.SliceEmpty(t, s.requests())
+	eventually(t, func() bool { return budget.Used() == 0 })
+}
+
+// Guards against clients that stop just short of the end of a body and keep the
+// memory that others need. They are told that their requests have not run.
+func TestStalledBodyIsEvicted(t *testing.T) {
+	s := newTestGateway(t, 1, config(nil), replyWith(okAnswer, true))
+	budget := s.withBudget(2 << 20)
+	stalled := s.startRequest("Content-Length: 1000000", strings.Repeat("x", 999_999))
+	eventually(t, func() bool { return budget.Used() >= 999_999 })
+	time.Sleep(100 * time.Millisecond)
+	response, _, err := s.do(func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("y", 1_000_000))), 1_000_000
+	})
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	status, closes := readAnswer(t, stalled)
+	must.Eq(t, http.StatusServiceUnavailable, status)
+	must.True(t, closes)
+	must.Eq(t, 1, len(s.requests()))
+	eventually(t, func() bool { return budget.Used() == 0 })
+}
+
+// Guards against a refused client that holds its connection and its goroutine by
+// sending the rest of its body slowly or never.
+func TestRefusalDoesNotWaitForBody(t *testing.T) {
+	s := newTestGateway(t, 1, config(nil), replyWith(okAnswer, true))
+	for _, framing := range []string{"Content-Length: 100", "Content-Length: 4194304", "Transfer-Encoding: chunked"} {
+		conn, err := net.Dial("tcp", s.server.Listener.Addr().String())
+		must.NoError(t, err)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST /no/route HTTP/1.1\r\nHost: h.example\r\n%s\r\n\r\n", framing)
+		must.NoError(t, err)
+		status, closes := readAnswer(t, conn)
+		must.Eq(t, http.StatusNotFound, status)
+		must.True(t, closes)
+		_, err = conn.Read(make([]byte, 1))
+		must.ErrorIs(t, err, io.EOF)
+	}
+}
+
+// Guards against refused requests with short bodies that lose their connections.
+func TestRefusalOfShortBodyKeepsConnection(t *testing.T) {
+	s := newTestGateway(t, 1, config(nil), replyWith(okAnswer, true))
+	conn := s.startRequest("Wrong: header\r\nContent-Length: 4", "body")
+	status, closes := readAnswer(t, conn)
+	must.Eq(t, http.StatusOK, status)
+	must.False(t, closes)
+	_, err := io.WriteString(conn, "POST /no/route HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n\r\nbody")
+	must.NoError(t, err)
+	status, closes = readAnswer(t, conn)
+	must.Eq(t, http.StatusNotFound, status)
+	must.False(t, closes)
+}
+
+// Guards against chunks of one byte that take more memory than their bytes.
+func TestTinyChunksTakeNoMoreMemory(t *testing.T) {
+	s := newTestGateway(t, 1, config(nil), replyWith(okAnswer, true))
+	budget := s.withBudget(2 << 20)
+	conn := s.startRequest("Transfer-Encoding: chunked", strings.Repeat(chunk("x"), 5000))
+	eventually(t, func() bool { return budget.Used() == firstBodyBytes })
+	_, err := io.WriteString(conn, streamEnd)
+	must.NoError(t, err)
+	status, _ := readAnswer(t, conn)
+	must.Eq(t, http.StatusOK, status)
+	must.Eq(t, 5000, len(s.requests()[0].body))
+}
