Client connections: bounds on number, heads and blocked writes

A listener wrapper for callers, the operator interface and the port between instances counts connections by descriptors and memory, and closes those that were idle or without progress for longest when it is full. The bytes of a head count with what its fields cost once parsed; 256 KiB of a head were read where the configuration allows 16 KiB, now the limit is the configuration's with slack (64 KiB before the first one). A write that the client does not acknowledge fails after a time without progress. A buffered answer is written after the endpoint's slot is free, and without the request's deadline, so that it reaches a client that reads slowly but steadily.

New settings with defaults and ranges; file_descriptors comes from the platform's template.

--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/boottime"
-	"github.com/balsamstair/balsamstair/internal/bytebudget"
 	"github.com/balsamstair/balsamstair/internal/clientconn"
 	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
@@ -54,15 +53,8 @@
 	// process is killed, requests still in progress are aborted.
 	shutdownMargin = 500 * time.Millisecond
 	// memoryLimitFraction is the fraction of the memory limit set as the Go
-	// runtime's soft limit, bodiesFraction the fraction for bodies of requests.
+	// runtime's soft limit.
 	memoryLimitFraction = 0.7
-	bodiesFraction      = 0.2
-	// reservedFraction is the part of the memory for clients that large requests
-	// cannot take.
-	reservedFraction = 0.25
-	// stallAfter is the time without progress from which a client's connection
-	// may be closed if memory is short. It is some hundred round trips.
-	stallAfter = time.Second
 	// callerHeaderTimeout and callerHeaderBytes limit a request's header where
 	// the configuration has no limit, or a higher one.
 	callerHeaderTimeout = 10 * time.Second
@@ -81,6 +73,7 @@
 	handler      *gateway.Handler
 	gossip       *gossip.Transport
 	operator     *operator.Server
+	clients      *clientconn.Limiter
 	counters     *operator.Counters
 	store        *platform.Store
 	watcher      *directory.Watcher
@@ -115,6 +108,14 @@
 	}, schedulerNow()), schedulerNow)
 	d.counters = operator.NewCounters(routedCounterDefinitions()...)
 	d.counters.PublishProcess()
+	budget := newClientBudget(cfg.Limits)
+	d.clients = clientconn.New(clientconn.Config{
+		Budget:         budget,
+		MaxConnections: maxClientConnections(cfg.Limits),
+		WriteStall:     cfg.Limits.WriteStall(),
+		Counters:       d.counters,
+		Log:            log.Named("clients"),
+	})
 	d.handler = gateway.NewHandler(gateway.Config{
 		Client: endpoint.New(endpoint.Config{
 			ConnectTimeout:       endpointConnectTimeout,
@@ -135,19 +136,17 @@
 		Post:        d.loop.Post,
 		Log:         log.Named("gateway"),
 		Counters:    d.counters,
-		Budget: bytebudget.New(bytebudget.Config{
-			Bytes:         int64(bodiesFraction * float64(cfg.Limits.MemoryMB<<20)),
-			ReservedBytes: int64(bodiesFraction * reservedFraction * float64(cfg.Limits.MemoryMB<<20)),
-			SmallBytes:    clientconn.SmallBytes,
-			StallAfter:    stallAfter,
-		}),
+		Budget:      budget,
+		BodyStall:   cfg.Limits.BodyStall(),
 	})
 	d.gossip = gossip.New(gossip.Config{
 		Address:  cfg.GossipAddress,
 		Received: func(r scheduler.Report) { d.loop.Post(scheduler.PeerReported{Report: r}) },
 		Log:      log.Named("gossip"),
 	})
-	d.operator = operator.New(operator.Config{Address: cfg.OperatorAddress, Counters: d.counters, Log: log.Named("operator")})
+	d.operator = operator.New(operator.Config{
+		Address: cfg.OperatorAddress, Counters: d.counters, Log: log.Named("operator"), Connections: d.clients,
+	})
 	d.store = platform.NewStore(cfg.PlatformAddress, storeTransport())
 	d.watcher = directory.NewWatcher(directory.WatcherConfig{
 		Source:      d.store,
@@ -291,15 +290,19 @@
 
 func (d *routedDaemon) serveCallers(l net.Listener, connections *gateway.Connections) *http.Server {
 	server := &http.Server{
-		Handler:           d.handler,
-		ConnState:         connections.Track,
+		Handler:     d.handler,
+		ConnContext: d.clients.ConnContext,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			connections.Track(conn, state)
+			d.clients.ConnState(conn, state)
+		},
 		ReadHeaderTimeout: callerHeaderTimeout,
 		IdleTimeout:       d.settings.Limits.IdleTimeout(),
 		MaxHeaderBytes:    callerHeaderBytes,
 		ErrorLog:          d.log.StandardDebug("http"),
 	}
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(d.clients.Listener(l, d.headBytes)); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Error("listener", "error", err.Error())
 		}
 	}()
@@ -313,10 +316,14 @@
 	if err != nil {
 		return errors.Wrapf(err, "%s listener", name)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: callerHeaderTimeout, ErrorLog: d.log.Standard(name)}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: callerHeaderBytes,
+		ConnContext: d.clients.ConnContext, ConnState: d.clients.ConnState, ErrorLog: d.log.Standard(name),
+	}
 	context.AfterFunc(ctx, func() { server.Close() })
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		headBytes := func() int { return d.headBytes() + instanceHeaderBytes }
+		if err := server.Serve(d.clients.Listener(l, headBytes)); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Error("listener", "name", name, "error", err.Error())
 		}
 	}()
--- a/internal/bytebudget/budget_test.go
+++ b/internal/bytebudget/budget_test.go
@@ -106,9 +106,10 @@
 	h := add(t, b, near, 800)
 	h.SetState(Serving, start)
 	now := start.Add(time.Hour)
-	result, _ := b.Add(far, noOwner{}, now).Take(100, now)
+	taker := b.Add(far, noOwner{}, now)
+	result, _ := taker.Take(100, now)
 	must.Eq(t, Refused, result)
-	must.Nil(t, b.EvictOldest(b.Add(far, noOwner{}, now), now))
+	must.Nil(t, b.EvictOldest(taker, now))
 }
 
 // Guards against a group of clients at one address that takes what others need.
@@ -151,6 +152,16 @@
 	must.Nil(t, b.EvictOldest(taker, now))
 }
 
+// Guards against a flood of new connections that keeps all others out for as long
+// as none of them counts as idle.
+func TestOldestOfYoungHoldersIsEvicted(t *testing.T) {
+	b := newBudget()
+	oldest := b.Add(near, noOwner{}, start)
+	b.Add(near, noOwner{}, start.Add(time.Millisecond))
+	now := start.Add(2 * time.Millisecond)
+	must.Eq(t, oldest, b.EvictOldest(b.Add(far, noOwner{}, now), now))
+}
+
 // Guards against sums that drift: whatever happens, the bytes used are those of
 // all holders, never more than the budget, and nothing is left at the end.
 func TestSums(t *testing.T) {
--- a/internal/bytebudget/evict.go
+++ b/internal/bytebudget/evict.go
@@ -15,6 +15,8 @@
 	// classOverShare holders make progress, but their addresses hold more than a
 	// fair share, or they hold much while a small holder needs little.
 	classOverShare
+	// classYoung holders are evicted only if there are too many holders.
+	classYoung
 	classKept
 )
 
@@ -83,9 +85,9 @@
 }
 
 // EvictOldest marks and returns the holder that was idle or without progress for
-// longest, or nil if all others are being served or make progress. It is for
-// limits on the number of holders. If some address has more holders than its
-// fair share of them, a holder of it that makes progress is evicted too.
+// longest, or nil if all others are being served or are being sent an answer. It
+// is for limits on the number of holders. Without a holder that has been idle or
+// stalled for long, those of addresses above a fair share come first.
 func (b *Budget) EvictOldest(taker *Holder, now time.Time) *Holder {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -98,6 +100,9 @@
 		}
 		c := candidate{Holder: h, idle: h.idleTime(now)}
 		c.class = b.classify(h, c.idle, belowShare && b.shares[h.address] > fair)
+		if state := h.State(); c.class == classKept && (state == Idle || state == Receiving) {
+			c.class = classYoung
+		}
 		if c.class < best.class || c.class == best.class && c.class != classKept && c.idle > best.idle {
 			best = c
 		}
--- a/internal/clientconn/limiter.go
+++ b/internal/clientconn/limiter.go
@@ -30,9 +30,13 @@
 	evictionWait = 250 * time.Millisecond
 	// evictionPoll is the interval of checks whether they have closed.
 	evictionPoll = 2 * time.Millisecond
-	// overshoot is the part of the number of connections by which it may exceed
-	// its limit while evicted connections close.
-	overshoot = 1.0 / 8
+	// The number of connections may exceed its limit by limit/overshoot and
+	// minOvershoot while evicted connections close, which takes a moment.
+	overshoot    = 8
+	minOvershoot = 8
+	// acceptWait bounds the wait for evicted connections before another one is
+	// accepted.
+	acceptWait = 20 * time.Millisecond
 	// logsPerSecond and logBurst limit the log lines about connections.
 	logsPerSecond = 5
 	logBurst      = 50
@@ -101,16 +105,15 @@
 	c := &Conn{Conn: inner, limiter: l, headBytes: headBytes}
 	c.readsHead.Store(true)
 	c.holder = l.cfg.Budget.Add(remoteIP(inner), c, now)
-	open, limit := l.open.Add(1), int64(l.cfg.MaxConnections)
-	if open <= limit {
+	limit := int64(l.cfg.MaxConnections)
+	if l.open.Add(1) <= limit {
 		return c
 	}
-	victim := l.cfg.Budget.EvictOldest(c.holder, now)
-	if victim != nil {
+	if victim := l.cfg.Budget.EvictOldest(c.holder, now); victim != nil {
 		victim.Owner().Evict()
-	}
-	if victim != nil && open <= limit+int64(overshoot*float64(limit)) {
-		return c
+		if l.awaitClosed(limit + limit/overshoot + minOvershoot) {
+			return c
+		}
 	}
 	l.refused(c, "connections")
 	// Close fails only if the connection is already closed.
@@ -118,6 +121,17 @@
 	return nil
 }
 
+// awaitClosed waits until no more than limit connections are open, and reports
+// whether that is so within a short time.
+func (l *Limiter) awaitClosed(limit int64) bool {
+	for end := time.Now().Add(acceptWait); l.open.Load() > limit; time.Sleep(evictionPoll) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
 func remoteIP(c net.Conn) netip.Addr {
 	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
 		return a.AddrPort().Addr().Unmap()
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -35,6 +35,19 @@
 	since time.Time
 }
 
+// maxUnknownHeadBytes limits a request's head before the first configuration.
+const maxUnknownHeadBytes = 64 << 10
+
+// HeadBytes returns the number of bytes of a request's head that is read at most:
+// the configuration's limit on header fields and slack for the rest.
+func (h *Handler) HeadBytes(slack int) int {
+	table := h.table.Load()
+	if table == nil || table.Limits().HeaderBytes <= 0 {
+		return maxUnknownHeadBytes
+	}
+	return table.Limits().HeaderBytes + slack
+}
+
 // NewConnections returns a Connections that applies the limits of handler's
 // current configuration.
 func NewConnections(handler *Handler) *Connections {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -53,6 +53,9 @@
 	// endpointFailure is an endpoint's own error answer, which the caller gets
 	// if no further attempt is made.
 	endpointFailure *bufferedAnswer
+	// complete is the answer that the caller gets once the scheduler knows that the
+	// attempt has ended.
+	complete *bufferedAnswer
 	// For the log.
 	attempts int
 	endpoint string
@@ -131,6 +134,9 @@
 	if x.outcome == scheduler.Abandoned {
 		x.finishAbandoned()
 	}
+	if x.complete != nil {
+		x.writeBuffered(x.complete)
+	}
 	return true
 }
 
@@ -332,7 +338,7 @@
 		x.endpointFailure = &bufferedAnswer{answer.Status, answer.Header, body}
 	default:
 		a.Outcome = scheduler.Completed
-		x.writeBuffered(&bufferedAnswer{answer.Status, answer.Header, body})
+		x.complete = &bufferedAnswer{answer.Status, answer.Header, body}
 	}
 }
 
@@ -364,7 +370,13 @@
 	x.status = status
 }
 
+// writeBuffered writes an answer that was read completely. The endpoint's slot is
+// free, so that only the connection's limit on the time without progress applies.
 func (x *exchange) writeBuffered(answer *bufferedAnswer) {
+	if !x.ownHolder {
+		// The deadline of a limited connection can always be set.
+		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Time{})
+	}
 	x.copyHeader(answer.header)
 	x.w.WriteHeader(answer.status)
 	x.answerStarted = true
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -32,7 +32,7 @@
 	requestLogsPerSecond = 300
 	requestLogBurst      = 600
 	// writeGrace is how long after a request's deadline its caller may take to
-	// read the end of the answer, on connections without limits of their own.
+	// read the end of an answer that still arrives from an endpoint.
 	writeGrace = time.Second
 )
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -26,6 +26,8 @@
 	requestTimeout  = 5 * time.Second
 	shutdownTimeout = 2 * time.Second
 	maxHeaderBytes  = 16 << 10
+	// headSlackBytes is what net/http reads of a head beyond its limit.
+	headSlackBytes = 8 << 10
 	// maxInFlight bounds the concurrent requests, except for liveness and
 	// readiness checks.
 	maxInFlight = 16
@@ -48,6 +50,17 @@
 	// counts as live.
 	Live func(ctx context.Context) error
 	Log  *logline.Logger
+	// Connections limits the listener's connections; nil means no limits.
+	Connections ConnectionLimiter
+}
+
+// ConnectionLimiter limits the connections of a listener.
+type ConnectionLimiter interface {
+	// Listener returns a listener whose connections are limited. headBytes returns
+	// the number of bytes of a request's head that is read at most.
+	Listener(inner net.Listener, headBytes func() int) net.Listener
+	// ConnState is the ConnState hook of the listener's server.
+	ConnState(conn net.Conn, state http.ConnState)
 }
 
 // Server is the HTTP server of the operator interface. It is a suture service.
@@ -111,11 +124,17 @@
 	listener := s.listener
 	s.listener = nil
 	s.mu.Unlock()
+	var connState func(net.Conn, http.ConnState)
+	if s.cfg.Connections != nil {
+		listener = s.cfg.Connections.Listener(listener, func() int { return maxHeaderBytes + headSlackBytes })
+		connState = s.cfg.Connections.ConnState
+	}
 	if s.cfg.TLS != nil {
 		listener = tls.NewListener(listener, s.cfg.TLS)
 	}
 	server := &http.Server{
 		Handler:           s,
+		ConnState:         connState,
 		ReadHeaderTimeout: readTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      writeTimeout,
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -73,6 +73,39 @@
 	// IdleTimeoutMS is how long a caller's connection may be idle, in
 	// milliseconds.
 	IdleTimeoutMS int64 `toml:"idle_timeout_ms"`
+	// FileDescriptors is the number of file descriptors that the process may open.
+	// Zero means the limit of the process (RLIMIT_NOFILE).
+	FileDescriptors int64 `toml:"file_descriptors"`
+	// ClientMemoryPercent is the part of MemoryMB, in percent, that clients may
+	// occupy with connections, request heads, bodies and answers.
+	ClientMemoryPercent int64 `toml:"client_memory_percent"`
+	// ClientConnections bounds the open connections of clients. Zero means as many
+	// as the descriptors and the memory for clients allow.
+	ClientConnections int64 `toml:"client_connections"`
+	// BodyStallMS is how long a request body may make no progress, in milliseconds.
+	BodyStallMS int64 `toml:"body_stall_ms"`
+	// WriteStallMS is how long a client may acknowledge nothing of its answer, in
+	// milliseconds.
+	WriteStallMS int64 `toml:"write_stall_ms"`
+	// HeadSlackBytes is how much of a request's head is read beyond the
+	// configuration's limit on header fields: the request line and the start of the
+	// body.
+	HeadSlackBytes int64 `toml:"head_slack_bytes"`
+}
+
+// ClientMemoryBytes returns the memory that clients may occupy, in bytes.
+func (l *RoutedLimits) ClientMemoryBytes() int64 {
+	return l.MemoryMB << 20 / 100 * l.ClientMemoryPercent
+}
+
+// BodyStall returns BodyStallMS as a duration.
+func (l *RoutedLimits) BodyStall() time.Duration {
+	return time.Duration(l.BodyStallMS) * time.Millisecond
+}
+
+// WriteStall returns WriteStallMS as a duration.
+func (l *RoutedLimits) WriteStall() time.Duration {
+	return time.Duration(l.WriteStallMS) * time.Millisecond
 }
 
 // IdleTimeout returns IdleTimeoutMS as a duration.
@@ -86,7 +119,10 @@
 		EndpointHeartbeatMS: 1000,
 
 		Bounds: RoutedBounds{RetryRatio: 0.1, RetryExtra: 10, RetryWindowS: 10, GraceS: 30},
-		Limits: RoutedLimits{MemoryMB: 512, IdleTimeoutMS: 60_000},
+		Limits: RoutedLimits{
+			MemoryMB: 512, IdleTimeoutMS: 60_000, ClientMemoryPercent: 35,
+			BodyStallMS: 10_000, WriteStallMS: 10_000, HeadSlackBytes: 16 << 10,
+		},
 	}
 }
 
@@ -155,11 +191,43 @@
 	if s.Limits.MemoryMB < minMemoryMB {
 		report.Add(key("limits.memory_mb"), "%d is less than %d", s.Limits.MemoryMB, minMemoryMB)
 	}
-	if s.Limits.IdleTimeoutMS < 1 || s.Limits.IdleTimeoutMS > maxTimeMS {
-		report.Add(key("limits.idle_timeout_ms"), "%d is not between 1 and %d", s.Limits.IdleTimeoutMS, maxTimeMS)
+	s.Limits.validate(report)
+}
+
+// validate checks the limits that have a range.
+func (l *RoutedLimits) validate(report *strict.Report) {
+	for _, q := range []struct {
+		key              string
+		value, low, high int64
+	}{
+		{"idle_timeout_ms", l.IdleTimeoutMS, 1, maxTimeMS},
+		{"client_memory_percent", l.ClientMemoryPercent, 5, 50},
+		{"body_stall_ms", l.BodyStallMS, 100, maxTimeMS},
+		{"write_stall_ms", l.WriteStallMS, 100, maxTimeMS},
+		{"head_slack_bytes", l.HeadSlackBytes, minHeaderBytes, maxHeaderBytes},
+	} {
+		if q.value < q.low || q.value > q.high {
+			report.Add(key("limits."+q.key), "%d is not between %d and %d", q.value, q.low, q.high)
+		}
+	}
+	// Zero means that the limit is derived.
+	for _, q := range []struct {
+		key        string
+		value, low int64
+	}{
+		{"file_descriptors", l.FileDescriptors, minFileDescriptors},
+		{"client_connections", l.ClientConnections, 1},
+	} {
+		if q.value != 0 && q.value < q.low {
+			report.Add(key("limits."+q.key), "%d is not 0 and less than %d", q.value, q.low)
+		}
 	}
 }
 
+// minFileDescriptors is the smallest number of file descriptors with which the
+// process can run: those reserved for files, and some connections.
+const minFileDescriptors = 256
+
 // minMemoryMB is the smallest memory limit, in megabytes, with which the
 // process can run.
 const minMemoryMB = 32
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -37,9 +37,21 @@
 	must.Eq(t, time.Minute, s.Limits.IdleTimeout()) // default
 }
 
+// Guards against a platform without a value for the descriptors (0), and against
+// defaults that a client within the configuration's limits could meet.
+func TestRoutedClientLimits(t *testing.T) {
+	s, err := ParseRouted([]byte(strings.Replace(validRouted, "[bounds]", "[limits]\nmemory_mb = 100\nfile_descriptors = 0\n[bounds]", 1)))
+	must.NoError(t, err)
+	must.Eq(t, 0, s.Limits.FileDescriptors)
+	must.Eq(t, 0, s.Limits.ClientConnections)
+	must.Eq(t, 35<<20, s.Limits.ClientMemoryBytes())
+	must.Eq(t, 10*time.Second, s.Limits.BodyStall())
+	must.Eq(t, 10*time.Second, s.Limits.WriteStall())
+}
+
 // Each case changes validRouted and names the key to be reported: a missing key,
 // a host name and a malformed text in place of an address, a negative number, an
-// unknown key, and a memory limit below the minimum.
+// unknown key, and limits out of their ranges.
 func TestParseRoutedReportsKeyOfProblem(t *testing.T) {
 	for _, c := range []struct{ old, new, key string }{
 		{`instance = "i"`, ``, "instance"},
@@ -48,6 +60,13 @@
 		{`grace_s = 8`, `grace_s = -1`, "bounds.grace_s"},
 		{`retry_ratio = 0.2`, `retry_share = 0.2`, "bounds.retry_share"},
 		{`[bounds]`, "[limits]\nmemory_mb = 1\n[bounds]", "limits.memory_mb"},
+		{`[bounds]`, "[limits]\nidle_timeout_ms = 0\n[bounds]", "limits.idle_timeout_ms"},
+		{`[bounds]`, "[limits]\nfile_descriptors = 10\n[bounds]", "limits.file_descriptors"},
+		{`[bounds]`, "[limits]\nclient_memory_percent = 51\n[bounds]", "limits.client_memory_percent"},
+		{`[bounds]`, "[limits]\nclient_connections = -1\n[bounds]", "limits.client_connections"},
+		{`[bounds]`, "[limits]\nbody_stall_ms = 99\n[bounds]", "limits.body_stall_ms"},
+		{`[bounds]`, "[limits]\nwrite_stall_ms = 0\n[bounds]", "limits.write_stall_ms"},
+		{`[bounds]`, "[limits]\nhead_slack_bytes = 10\n[bounds]", "limits.head_slack_bytes"},
 	} {
 		_, err := ParseRouted([]byte(strings.Replace(validRouted, c.old, c.new, 1)))
 		parseError := new(strict.Error)
