--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -142,7 +142,7 @@
 	if end := bytes.Index(p, headEnd); end >= 0 {
 		head = p[:end]
 	}
-	c.headCost += int64(2*len(p) + headLineBytes*bytes.Count(head, lineEnd))
+	c.headCost += int64(2*len(head) + headLineBytes*bytes.Count(head, lineEnd))
 	if missing := c.headCost - freeHeadBytes - c.headTaken; missing > 0 {
 		if !Take(c.holder, missing) {
 			return 0, c.refuseHead(http.StatusServiceUnavailable, "head_memory")
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -33,3 +33,40 @@
 func copyBuffered(w io.Writer, r io.Reader) (int64, error) {
 	return io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{r}, make([]byte, copyBufferBytes))
 }
+
+// freeAnswerBytes is the size up to which an answer's buffer is not counted. It is
+// part of what a connection counts.
+const freeAnswerBytes = 4 << 10
+
+// readAnswer reads an answer as readUpTo does, up to maxBufferedAnswerBytes. Its
+// buffer counts as memory of the request; if there is none left, ended is false.
+func (x *exchange) readAnswer(body io.Reader) (data []byte, ended bool, err error) {
+	data = make([]byte, 0, 1024)
+	counted := int64(0)
+	for {
+		if len(data) == cap(data) {
+			next := int64(2 * cap(data))
+			if next > freeAnswerBytes && !x.take(next) {
+				return data, false, nil
+			}
+			data = append(make([]byte, 0, next), data...)
+			if counted > 0 {
+				x.giveBack(counted)
+			}
+			if next > freeAnswerBytes {
+				counted = next
+			}
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err == io.EOF {
+			return data, true, nil
+		}
+		if err != nil {
+			return data, false, err
+		}
+		if len(data) >= maxBufferedAnswerBytes {
+			return data, false, nil
+		}
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -314,11 +314,12 @@
 	}
 }
 
-// bufferAnswer reads an answer and forwards it once it is complete. An answer
-// over the limit is forwarded as it arrives.
+// bufferAnswer reads an answer, which the caller gets once it is complete. An
+// answer for which there is no memory, or over the limit, is forwarded as it
+// arrives.
 func (x *exchange) bufferAnswer(answer *endpoint.Answer, sent time.Time, a *scheduler.Attempt) {
 	defer answer.Body.Close()
-	body, ended, err := readUpTo(answer.Body, maxBufferedAnswerBytes)
+	body, ended, err := x.readAnswer(answer.Body)
 	a.FirstByte = time.Since(sent)
 	a.Inconclusive = answer.CloseDelimited
 	a.ErrorAnswer = answer.Status >= http.StatusBadRequest
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/balsamstair/balsamstair/internal/boottime"
 	"github.com/balsamstair/balsamstair/internal/bytebudget"
+	"github.com/balsamstair/balsamstair/internal/clientconn"
 	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
 	"github.com/balsamstair/balsamstair/internal/logline"
@@ -74,6 +75,9 @@
 	handler *Handler
 	loop    *Loop
 	server  *httptest.Server
+	// budget is that of the clients' memory.
+	budget   *bytebudget.Budget
+	counters *operator.Counters
 
 	mu       sync.Mutex
 	received []receivedRequest
@@ -98,7 +102,15 @@
 type rawReply func(conn net.Conn, nth int, r *http.Request) bool
 
 func newTestGateway(t *testing.T, endpoints int, config *routing.Config, answer rawReply) *testGateway {
-	s := &testGateway{t: t}
+	return newTestGatewayWithMemory(t, 16<<20, endpoints, config, answer)
+}
+
+// newTestGatewayWithMemory returns a gateway whose clients may occupy memory bytes.
+func newTestGatewayWithMemory(t *testing.T, memory int64, endpoints int, config *routing.Config, answer rawReply) *testGateway {
+	s := &testGateway{t: t, counters: operator.NewCounters()}
+	s.budget = bytebudget.New(bytebudget.Config{
+		Bytes: memory, ReservedBytes: memory / 4, SmallBytes: clientconn.SmallBytes, StallAfter: 50 * time.Millisecond,
+	})
 	s.loop = NewLoop(scheduler.New(scheduler.Config{
 		Address: "127.0.0.1:1", Zone: "z", Incarnation: 1, RandomSeed: 1,
 		Bounds: scheduler.Bounds{Revocation: time.Hour, RetryRatio: 1, RetryExtra: 100, RetryWindow: 10 * time.Second},
@@ -108,8 +120,7 @@
 		Instances:   endpoint.New(endpoint.Config{RequestIDHeader: "Id", ConnectTimeout: time.Second}),
 		Incarnation: testIncarnation,
 		Dialect:     testDialect{}, Now: now, Post: s.loop.Post, Log: logline.Discard(),
-		Counters: operator.NewCounters(),
-		Budget:   bytebudget.New(bytebudget.Config{Bytes: 16 << 20, SmallBytes: 64 << 10, StallAfter: time.Second}),
+		Counters: s.counters, Budget: s.budget,
 	})
 	s.loop.AddEffectHandlers(s.handler.HandleEffect, func(e scheduler.Effect) bool {
 		_, readsHistory := e.(scheduler.ReadHistory)
@@ -120,7 +131,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.loop.Serve(ctx) }()
-	s.server = httptest.NewServer(s.handler)
+	limiter := clientconn.New(clientconn.Config{
+		Budget: s.budget, MaxConnections: 1000, WriteStall: 10 * time.Second, Counters: s.counters, Log: logline.Discard(),
+	})
+	s.server = httptest.NewUnstartedServer(s.handler)
+	s.server.Listener = limiter.Listener(s.server.Listener, func() int { return s.handler.HeadBytes(16 << 10) })
+	s.server.Config.ConnState, s.server.Config.ConnContext = limiter.ConnState, limiter.ConnContext
+	s.server.Start()
 	t.Cleanup(func() {
 		s.server.Close()
 		cancel()
--- a/internal/gateway/intake_test.go
+++ b/internal/gateway/intake_test.go
@@ -10,17 +10,13 @@
 	"testing"
 	"time"
 
-	"github.com/balsamstair/balsamstair/internal/bytebudget"
+	"github.com/balsamstair/balsamstair/internal/clientconn"
 	"github.com/shoenig/test/must"
 )
 
-// withBudget gives the gateway a budget of its own before its first request.
-func (s *testGateway) withBudget(bytes int64) *bytebudget.Budget {
-	b := bytebudget.New(bytebudget.Config{
-		Bytes: bytes, ReservedBytes: bytes / 4, SmallBytes: 64 << 10, StallAfter: 50 * time.Millisecond,
-	})
-	s.handler.cfg.Budget = b
-	return b
+// inUse returns the bytes that clients hold apart from their connections.
+func (s *testGateway) inUse() int64 {
+	return s.budget.Used() - int64(s.budget.Holders())*clientconn.ConnectionBytes
 }
 
 // startRequest opens a connection and sends a request's head and text, which may be
@@ -48,12 +44,11 @@
 // Guards against memory that is allocated for what a client declares: many clients
 // that declare large bodies and send little ended the process.
 func TestDeclaredLengthTakesNoMemory(t *testing.T) {
-	s := newTestGateway(t, 1, config(nil), replyWith(okAnswer, true))
-	budget := s.withBudget(2 << 20)
+	s := newTestGatewayWithMemory(t, 4<<20, 1, config(nil), replyWith(okAnswer, true))
 	for range 40 {
 		s.startRequest("Content-Length: 4194304", "x")
 	}
-	eventually(t, func() bool { return budget.Used() == 40*firstBodyBytes })
+	eventually(t, func() bool { return s.inUse() == 40*firstBodyBytes })
 	response, _, err := s.do(nil)
 	must.NoError(t, err)
 	must.Eq(t, http.StatusOK, response.StatusCode)
@@ -62,8 +57,7 @@
 // Guards against a request within the limits that is refused in calm conditions, and
 // against memory that is not returned.
 func TestLargestBodyIsServed(t *testing.T) {
-	s := newTestGateway(t, 1, config(nil), replyWith(okAnswer, true))
-	budget := s.withBudget(9 << 20)
+	s := newTestGatewayWithMemory(t, 9<<20, 1, config(nil), replyWith(okAnswer, true))
 	body := strings.Repeat("x", defaultBodyBytes)
 	for _, chunked := range []bool{false, true} {
 		response, _, err := s.do(func(r *http.Request) {
@@ -74,7 +68,7 @@
 		})
 		must.NoError(t, err)
 		must.Eq(t, http.StatusOK, response.StatusCode)
-		eventually(t, func() bool { return budget.Used() == 0 && budget.Holders() == 0 })
+		eventually(t, func() bool { return s.inUse() == 0 })
 	}
 	for _, r := range s.requests() {
 		must.Eq(t, len(body), len(r.body))
@@ -85,27 +79,25 @@
 func TestBodyOverLimitIsRefused(t *testing.T) {
 	c := config(nil)
 	c.Limits.BodyBytes = 1000
-	s := newTestGateway(t, 1, c, replyWith(okAnswer, true))
-	budget := s.withBudget(2 << 20)
+	s := newTestGatewayWithMemory(t, 2<<20, 1, c, replyWith(okAnswer, true))
 	for _, framing := range []string{"Content-Length: 1001", "Content-Length: 1000000000", "Transfer-Encoding: chunked"} {
 		conn := s.startRequest(framing, chunk(strings.Repeat("x", 1001)))
 		status, _ := readAnswer(t, conn)
 		must.Eq(t, http.StatusRequestEntityTooLarge, status)
 	}
 	must.SliceEmpty(t, s.requests())
-	eventually(t, func() bool { return budget.Used() == 0 })
+	eventually(t, func() bool { return s.inUse() == 0 })
 }
 
 // Guards against clients that stop just short of the end of a body and keep the
 // memory that others need. They are told that their requests have not run.
 func TestStalledBodyIsEvicted(t *testing.T) {
-	s := newTestGateway(t, 1, config(nil), replyWith(okAnswer, true))
-	budget := s.withBudget(2 << 20)
-	stalled := s.startRequest("Content-Length: 1000000", strings.Repeat("x", 999_999))
-	eventually(t, func() bool { return budget.Used() >= 999_999 })
+	s := newTestGatewayWithMemory(t, 3<<20, 1, config(nil), replyWith(okAnswer, true))
+	stalled := s.startRequest("Content-Length: 1200000", strings.Repeat("x", 1_199_999))
+	eventually(t, func() bool { return s.inUse() >= 1_199_999 })
 	time.Sleep(100 * time.Millisecond)
 	response, _, err := s.do(func(r *http.Request) {
-		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("y", 1_000_000))), 1_000_000
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("y", 1_200_000))), 1_200_000
 	})
 	must.NoError(t, err)
 	must.Eq(t, http.StatusOK, response.StatusCode)
@@ -113,7 +105,7 @@
 	must.Eq(t, http.StatusServiceUnavailable, status)
 	must.True(t, closes)
 	must.Eq(t, 1, len(s.requests()))
-	eventually(t, func() bool { return budget.Used() == 0 })
+	eventually(t, func() bool { return s.inUse() == 0 })
 }
 
 // Guards against a refused client that holds its connection and its goroutine by
@@ -150,13 +142,41 @@
 
 // Guards against chunks of one byte that take more memory than their bytes.
 func TestTinyChunksTakeNoMoreMemory(t *testing.T) {
-	s := newTestGateway(t, 1, config(nil), replyWith(okAnswer, true))
-	budget := s.withBudget(2 << 20)
+	s := newTestGatewayWithMemory(t, 2<<20, 1, config(nil), replyWith(okAnswer, true))
 	conn := s.startRequest("Transfer-Encoding: chunked", strings.Repeat(chunk("x"), 5000))
-	eventually(t, func() bool { return budget.Used() == firstBodyBytes })
+	eventually(t, func() bool { return s.inUse() == firstBodyBytes })
 	_, err := io.WriteString(conn, streamEnd)
 	must.NoError(t, err)
 	status, _ := readAnswer(t, conn)
 	must.Eq(t, http.StatusOK, status)
 	must.Eq(t, 5000, len(s.requests()[0].body))
 }
+
+// Guards against an answer's buffer that is not counted, or not returned, and against
+// an answer that is lost because there is no memory for a buffer.
+func TestAnswerBufferCounts(t *testing.T) {
+	const size = 100_000
+	proceed := make(chan struct{})
+	answer := func(conn net.Conn, _ int, _ *http.Request) bool {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: id-1\r\nStamp: s\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size-1))
+		<-proceed
+		if err == nil {
+			_, err = io.WriteString(conn, "x")
+		}
+		return err == nil
+	}
+	for _, memory := range []int64{4 << 20, 60 << 10} {
+		s := newTestGatewayWithMemory(t, memory, 1, config(nil), answer)
+		got := make(chan string, 1)
+		go func() {
+			_, body, _ := s.do(nil)
+			got <- body
+		}()
+		if memory > 1<<20 {
+			eventually(t, func() bool { return s.inUse() >= size })
+		}
+		proceed <- struct{}{}
+		must.Eq(t, size, len(<-got))
+		eventually(t, func() bool { return s.inUse() == 0 })
+	}
+}
