--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -120,7 +120,7 @@
 
 		Bounds: RoutedBounds{RetryRatio: 0.1, RetryExtra: 10, RetryWindowS: 10, GraceS: 30},
 		Limits: RoutedLimits{
-			MemoryMB: 512, IdleTimeoutMS: 60_000, ClientMemoryPercent: 35,
+			MemoryMB: 512, IdleTimeoutMS: 60_000, ClientMemoryPercent: 28,
 			BodyStallMS: 10_000, WriteStallMS: 10_000, HeadSlackBytes: 16 << 10,
 		},
 	}
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -44,7 +44,7 @@
 	must.NoError(t, err)
 	must.Eq(t, 0, s.Limits.FileDescriptors)
 	must.Eq(t, 0, s.Limits.ClientConnections)
-	must.Eq(t, 35<<20, s.Limits.ClientMemoryBytes())
+	must.Eq(t, 28<<20, s.Limits.ClientMemoryBytes())
 	must.Eq(t, 10*time.Second, s.Limits.BodyStall())
 	must.Eq(t, 10*time.Second, s.Limits.WriteStall())
 }
