Caller: bodies take memory from a byte budget as they arrive

The semaphore reserved the declared length and let others wait without end behind callers that sent nothing.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/bytebudget"
 	"github.com/balsamstair/balsamstair/internal/declared"
 	"github.com/balsamstair/balsamstair/internal/logline"
 	"github.com/balsamstair/balsamstair/internal/reducer"
@@ -21,7 +22,6 @@
 	"github.com/balsamstair/balsamstair/internal/ticket"
 	"github.com/balsamstair/balsamstair/internal/traffic"
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sync/semaphore"
 )
 
 // Headers of the caller interface; docs/CALLERS.md describes them.
@@ -62,14 +62,18 @@
 // Handler serves requests of callers, including those that peers forward.
 type Handler struct {
 	cfg Config
-	// bodyBudget limits the total size, in bytes, of all request bodies in
-	// memory.
-	bodyBudget *semaphore.Weighted
+	// budget limits the total size, in bytes, of the buffers of all request bodies.
+	budget *bytebudget.Budget
 }
 
 // NewHandler returns a Handler.
 func NewHandler(cfg Config) *Handler {
-	return &Handler{cfg: cfg, bodyBudget: semaphore.NewWeighted(cfg.Limits.BodiesBytes)}
+	return &Handler{cfg: cfg, budget: bytebudget.New(bytebudget.Config{
+		// The buffer of a body counts twice while it grows.
+		Bytes:      max(cfg.Limits.BodiesBytes, 2*cfg.Limits.BodyBytes),
+		SmallBytes: smallBodyBytes,
+		StallAfter: stallAfter,
+	})}
 }
 
 // inboundRequest is a request with the results of authentication and parsing.
@@ -78,8 +82,8 @@
 	organisation *declared.Organisation
 	call         *traffic.Call
 	request      reducer.Request
-	// reservedBytes is the share of bodyBudget that the body takes.
-	reservedBytes int64
+	// holder counts the memory of the body; nil if no body was read.
+	holder *bytebudget.Holder
 	// body is the body as the caller sent it; it is used for forwarding.
 	body   []byte
 	stream bool
@@ -92,7 +96,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	req, reason := h.readRequest(w, r)
-	defer func() { h.bodyBudget.Release(req.reservedBytes) }()
+	defer req.release()
 	if reason != "" {
 		// No request can have run under an invalid ticket.
 		resent := r.Header.Get(HeaderTicket) != "" && reason != refusal.TicketInvalid
@@ -140,35 +144,6 @@
 	return f.OrganisationByKey(key)
 }
 
-// readBody waits until bodyBudget allows the body to be read, and reads it. It
-// does not refuse a request because the budget is exhausted: which requests to
-// shed is decided by tier, and that is not possible before a request is read.
-func (h *Handler) readBody(req *inboundRequest, w http.ResponseWriter, r *http.Request) ([]byte, refusal.Reason) {
-	size := h.cfg.Limits.BodyBytes
-	if r.ContentLength > size {
-		return nil, refusal.TooLarge
-	}
-	if r.ContentLength >= 0 {
-		size = r.ContentLength
-	}
-	if h.bodyBudget.Acquire(r.Context(), size) != nil {
-		return nil, refusal.CallerGone
-	}
-	req.reservedBytes = size
-	rc := http.NewResponseController(w)
-	// A writer without deadlines, as in a peer session, has its own limits.
-	_ = rc.SetReadDeadline(time.Now().Add(h.cfg.Limits.IdleTimeout()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.cfg.Limits.BodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
-	if err == nil {
-		return body, ""
-	}
-	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
-		return nil, refusal.TooLarge
-	}
-	return nil, refusal.BadRequest
-}
-
 // parseRequest sets the call to the endpoint and the request to the reducer.
 func (h *Handler) parseRequest(req *inboundRequest, r *http.Request, body []byte) refusal.Reason {
 	tier := r.Header.Get(HeaderTier)
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -179,6 +179,7 @@
 	}()
 	limits := settings.Defaults().Limits
 	limits.BodyBytes = 64 << 10
+	limits.BodiesBytes = 256 << 10
 	r.handler = NewHandler(Config{
 		Instance: "i0", AvailabilityZone: "a", Incarnation: incarnation, Exchange: exchange, File: inForce.Load,
 		Minter: ticket.NewMinter(incarnation), Peer: func(uint64) http.RoundTripper { return nil },
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -21,7 +21,7 @@
 	bodyProgressBytes = 16 << 10
 	// firstBodyBytes is the size of the first buffer for a body. Shorter bodies get
 	// a buffer of their declared length.
-	firstBodyBytes = 8 << 10
+	firstBodyBytes = 16 << 10
 	// maxRefusedBodyBytes is the largest declared body of a refused request that is
 	// read so that its connection can be reused.
 	maxRefusedBodyBytes = 16 << 10
@@ -183,7 +183,7 @@
 	old := int64(cap(x.body))
 	next := max(2*old, firstBodyBytes)
 	if next+firstBodyBytes > size {
-		// The rest is not worth a growth of its own.
+		// The rest is not worth another copy.
 		next = size
 	}
 	if !x.take(next) {
