--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -64,6 +64,10 @@
 // Holder returns what the connection holds of the budget.
 func (c *Conn) Holder() *bytebudget.Holder { return c.holder }
 
+// Refused counts and logs that a request of the connection was refused because of
+// a limit.
+func (c *Conn) Refused(reason string) { c.limiter.refused(c, reason) }
+
 // Evict implements bytebudget.Owner. Reads end at once, so that the request is
 // refused if a part of it was read; a blocked write ends too.
 func (c *Conn) Evict() {
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/bytebudget"
@@ -122,9 +123,13 @@
 	case x.holder.Evicted():
 		return http.StatusServiceUnavailable, reasonEvicted
 	case errors.Is(err, errBodyMemory):
+		x.limitReached("body_memory")
 		return http.StatusServiceUnavailable, reasonBodiesLimit
 	case errors.Is(err, errBodyTooLarge):
 		return http.StatusRequestEntityTooLarge, reasonBodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.limitReached("body_stalled")
+		return http.StatusBadRequest, reasonBadBody
 	default:
 		return http.StatusBadRequest, reasonBadBody
 	}
@@ -134,6 +139,13 @@
 	return 0, ""
 }
 
+// limitReached counts and logs that the client has reached a limit.
+func (x *exchange) limitReached(reason string) {
+	if c := clientconn.FromContext(x.r.Context()); c != nil {
+		c.Refused(reason)
+	}
+}
+
 // readAll reads the body into a buffer that grows as the body arrives, whatever
 // length the client has declared. Its memory is taken before it is allocated.
 func (x *exchange) readAll(control *http.ResponseController, limit int64) error {
--- a/internal/gateway/intake_test.go
+++ b/internal/gateway/intake_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/bytebudget"
 	"github.com/balsamstair/balsamstair/internal/clientconn"
 	"github.com/shoenig/test/must"
 )
@@ -101,6 +105,7 @@
 	})
 	must.NoError(t, err)
 	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Eq(t, 1, s.counters.Value("routed_clients_evicted_total", "receiving"))
 	status, closes := readAnswer(t, stalled)
 	must.Eq(t, http.StatusServiceUnavailable, status)
 	must.True(t, closes)
@@ -180,3 +185,82 @@
 		eventually(t, func() bool { return s.inUse() == 0 })
 	}
 }
+
+// Guards against a body without progress that holds its connection, and against a
+// slow one that is cut although it makes progress for longer than the limit.
+func TestBodyStall(t *testing.T) {
+	s := newTestGateway(t, 1, config(nil), replyWith(okAnswer, true))
+	s.handler.cfg.BodyStall = 300 * time.Millisecond
+	const pieces = 6
+	slow := s.startRequest(fmt.Sprintf("Content-Length: %d", pieces*bodyProgressBytes), "")
+	for range pieces {
+		time.Sleep(100 * time.Millisecond)
+		_, err := io.WriteString(slow, strings.Repeat("x", bodyProgressBytes))
+		must.NoError(t, err)
+	}
+	status, _ := readAnswer(t, slow)
+	must.Eq(t, http.StatusOK, status)
+	status, closes := readAnswer(t, s.startRequest("Content-Length: 1000000", "x"))
+	must.Eq(t, http.StatusBadRequest, status)
+	must.True(t, closes)
+	must.Eq(t, 1, s.counters.Value("routed_clients_refused_total", "body_stalled"))
+}
+
+// Guards against bodies that are changed, cut or counted wrongly, whatever their size
+// and the pieces in which they arrive.
+func FuzzBodyReader(f *testing.F) {
+	f.Add(0, 1, true, 100)
+	f.Add(1, 1, false, 1)
+	f.Add(firstBodyBytes, 4096, true, firstBodyBytes)
+	f.Add(firstBodyBytes+1, 7, false, firstBodyBytes)
+	f.Add(100_000, 1000, false, 99_999)
+	f.Add(100_000, 50_000, true, 1<<20)
+	f.Fuzz(func(t *testing.T, size, piece int, declared bool, limit int) {
+		if size < 0 || size > 1<<20 || piece < 1 || limit < 1 || limit > 1<<20 || declared && (size == 0 || size > limit) {
+			t.Skip()
+		}
+		body := make([]byte, size)
+		for n := range body {
+			body[n] = byte(n * 31)
+		}
+		budget := bytebudget.New(bytebudget.Config{Bytes: 8 << 20, SmallBytes: 64 << 10, StallAfter: time.Second})
+		r := httptest.NewRequest(http.MethodPost, "/", io.NopCloser(&pieceReader{body, piece}))
+		if r.ContentLength = -1; declared {
+			r.ContentLength = int64(size)
+		}
+		x := &exchange{h: &Handler{cfg: Config{Budget: budget}}, r: r}
+		x.holder = budget.Add(netip.Addr{}, bodyOwner{}, time.Now())
+		x.ownHolder = true
+		err := x.readAll(http.NewResponseController(noDeadlines{httptest.NewRecorder()}), int64(limit))
+		if size > limit {
+			must.ErrorIs(t, err, errBodyTooLarge)
+		} else {
+			must.NoError(t, err)
+			must.True(t, bytes.Equal(body, x.body))
+			must.Eq(t, int64(cap(x.body)), budget.Used())
+			must.LessEq(t, 2*max(size, firstBodyBytes)+firstBodyBytes, cap(x.body))
+		}
+		x.releaseMemory()
+		must.Eq(t, 0, budget.Used())
+	})
+}
+
+// pieceReader reads at most piece bytes at a time.
+type pieceReader struct {
+	left  []byte
+	piece int
+}
+
+func (r *pieceReader) Read(p []byte) (int, error) {
+	if len(r.left) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p[:min(len(p), r.piece)], r.left)
+	r.left = r.left[n:]
+	return n, nil
+}
+
+// noDeadlines accepts deadlines without effect.
+type noDeadlines struct{ http.ResponseWriter }
+
+func (noDeadlines) SetReadDeadline(time.Time) error { return nil }
