--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/bytebudget"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
 	"github.com/balsamstair/balsamstair/internal/origin"
 	"github.com/balsamstair/balsamstair/internal/routing"
@@ -28,6 +29,14 @@
 	org     *routing.Organisation
 	version int64
 	body    []byte
+	// holder counts the memory that the request occupies, heldBytes is the part of
+	// it that is returned when the request ends. ownHolder is set if holder is not
+	// that of a connection.
+	holder    *bytebudget.Holder
+	heldBytes int64
+	ownHolder bool
+	// bodyComplete is set once the body was read to its end.
+	bodyComplete bool
 	// fingerprint is equal for requests with the same caller, path and body.
 	fingerprint uint64
 	started     time.Time
@@ -44,6 +53,9 @@
 	// endpointFailure is an endpoint's own error answer, which the caller gets
 	// if no further attempt is made.
 	endpointFailure *bufferedAnswer
+	// complete is the answer that the caller gets once the scheduler knows that the
+	// attempt has ended.
+	complete *bufferedAnswer
 	// For the log.
 	attempts int
 	endpoint string
@@ -122,6 +134,9 @@
 	if x.outcome == scheduler.Abandoned {
 		x.finishAbandoned()
 	}
+	if x.complete != nil {
+		x.writeBuffered(x.complete)
+	}
 	return true
 }
 
@@ -299,11 +314,12 @@
 	}
 }
 
-// bufferAnswer reads an answer and forwards it once it is complete. An answer
-// over the limit is forwarded as it arrives.
+// bufferAnswer reads an answer, which the caller gets once it is complete. An
+// answer for which there is no memory, or over the limit, is forwarded as it
+// arrives.
 func (x *exchange) bufferAnswer(answer *endpoint.Answer, sent time.Time, a *scheduler.Attempt) {
 	defer answer.Body.Close()
-	body, ended, err := readUpTo(answer.Body, maxBufferedAnswerBytes)
+	body, ended, err := x.readAnswer(answer.Body)
 	a.FirstByte = time.Since(sent)
 	a.Inconclusive = answer.CloseDelimited
 	a.ErrorAnswer = answer.Status >= http.StatusBadRequest
@@ -323,7 +339,7 @@
 		x.endpointFailure = &bufferedAnswer{answer.Status, answer.Header, body}
 	default:
 		a.Outcome = scheduler.Completed
-		x.writeBuffered(&bufferedAnswer{answer.Status, answer.Header, body})
+		x.complete = &bufferedAnswer{answer.Status, answer.Header, body}
 	}
 }
 
@@ -355,7 +371,13 @@
 	x.status = status
 }
 
+// writeBuffered writes an answer that was read completely. The endpoint's slot is
+// free, so that only the connection's limit on the time without progress applies.
 func (x *exchange) writeBuffered(answer *bufferedAnswer) {
+	if !x.ownHolder {
+		// The deadline of a limited connection can always be set.
+		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Time{})
+	}
 	x.copyHeader(answer.header)
 	x.w.WriteHeader(answer.status)
 	x.answerStarted = true
