Client connections: an answer is finished before its connection is closed

net/http closes the write side of a connection first, and waits, only if the connection has CloseWrite. The wrapper of the listeners hid it, so that unread bytes of a client could reset the connection and discard a refusal.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -95,6 +95,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite lets net/http finish an answer before it closes the connection: without it
+// unread bytes of the client would reset the connection and discard the answer.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 // SetReadDeadline implements net.Conn. What an evicted connection still sends is
 // read for DrainTimeout at most.
 func (c *Conn) SetReadDeadline(t time.Time) error {
@@ -181,9 +190,8 @@
 
 // drain closes the connection for writing and reads what the client still sends.
 func (c *Conn) drain() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
+	// An error means that the client has closed the connection.
+	_ = c.CloseWrite()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(DrainTimeout))
 	buffer := make([]byte, 4<<10)
 	for read := 0; read < maxDrainedBytes; {
