Scheduler: requests leave the zone by package crossing if the settings say so

[zones] crossing = "adaptive" keeps a request in its zone while that serves it in time, and limits what leaves by zone. The default, "fixed", decides as before.

Tests of settings, cmd/balsamd and crossing pass.

--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -98,6 +98,8 @@
 		RandomSeed:  incarnation,
 
 		EndpointHeartbeat: cfg.EndpointHeartbeat(),
+		AdaptiveCrossing:  cfg.Zones.Crossing == settings.CrossingAdaptive,
+		CrossingCost:      cfg.Zones.CrossingCost(),
 		Bounds: scheduler.Bounds{
 			Revocation:  cfg.Bounds.Revocation(),
 			RetryRatio:  cfg.Bounds.RetryRatio,
--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -117,13 +117,13 @@
 	local := map[string][]string{}
 	for g, endpoints := range inZone {
 		inside, outside := splitByZone(s.reachableInstances, g.zone)
-		assignLocal(local, endpoints, inside, remoteSharers(len(outside), all[g.service]-len(endpoints)))
+		assignLocal(local, endpoints, inside, s.remoteSharers(len(outside), all[g.service]-len(endpoints)))
 	}
 	for _, e := range s.endpoints {
 		_, outside := splitByZone(s.reachableInstances, e.Zone)
 		elsewhere := all[e.Service] - len(inZone[group{e.Service, e.Zone}])
 		local := local[e.ID]
-		sharers := slices.Concat(local, topByHash(e.ID, outside, remoteSharers(len(outside), elsewhere)))
+		sharers := slices.Concat(local, topByHash(e.ID, outside, s.remoteSharers(len(outside), elsewhere)))
 		e.preferred = slices.Contains(local, s.cfg.Address)
 		e.unassigned = !slices.Contains(sharers, s.cfg.Address)
 		e.sharers = nil
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -213,4 +213,9 @@
 	// permit: those sent to another endpoint, and those that were queued.
 	CounterPermits Counter = "routed_permits_total"
 	CounterLimited Counter = "routed_limited_requests_total"
+	// CounterCrossings counts the requests that left the zone by a decision of package
+	// crossing, by zone and reason, CounterCrossingBytes the estimated bytes of their
+	// prompts and answers.
+	CounterCrossings     Counter = "routed_crossings_total"
+	CounterCrossingBytes Counter = "routed_crossing_bytes_total"
 )
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -289,6 +289,7 @@
 
 // recordAttempt updates e's health with the result of an attempt.
 func (s *State) recordAttempt(e *endpoint, r *request, a Attempt) {
+	s.attemptTimed(r, a)
 	failed := 0.0
 	switch a.Outcome {
 	case NotSent, Broken:
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -99,3 +99,18 @@
 	}
 	x.loads = x.loads[:0]
 }
+
+func (r *request) endPrefill() {
+	if r.prefilling {
+		r.endpoint.ownPrefill -= r.PromptTokens
+		r.prefilling = false
+	}
+}
+
+// releaseSlot removes the request from the load of its endpoint.
+func (s *State) releaseSlot(r *request) {
+	r.endPrefill()
+	r.endpoint.ownRunning--
+	s.loadChanged(r.endpoint)
+	r.endpoint = nil
+}
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -41,6 +41,8 @@
 	incarnation uint64
 	sequence    uint64
 	lastContact Instant
+	// heardAt is when the latest report, complete or partial, was received.
+	heardAt Instant
 	// firstContact is when the first report from the member was received.
 	firstContact Instant
 	// lastSent is when a report was last sent to the member.
@@ -256,6 +258,7 @@
 	if r.Partial {
 		if x != nil && x.incarnation == r.Incarnation {
 			x.sequence = r.Sequence
+			x.heardAt = s.now
 			s.applyLoadUpdate(x, r.Loads)
 			if len(r.Usage) > 0 {
 				s.answerUsage(x, r.Usage)
@@ -295,7 +298,7 @@
 		m.shareStale = true
 	}
 	x.sequence = r.Sequence
-	x.lastContact = s.now
+	x.lastContact, x.heardAt = s.now, s.now
 	s.zoneReached(x.zone, s.now)
 	x.demand = r.Demand
 	s.applyPathReport(x, r.Paths)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -31,6 +31,7 @@
 	paths           servicePaths
 	shares          shareHistory
 	brittle         brittleService
+	crossing        zoneCrossing
 }
 
 type latencyKey struct {
@@ -132,6 +133,7 @@
 		if e == nil {
 			r, e = s.firstPlaceable(p)
 		}
+		r, e = s.reviewZone(p, r, e)
 		if e == nil {
 			if s.forwardWaiting(p) {
 				continue
@@ -211,7 +213,7 @@
 		if p.brittle.Named && (unassigned || !s.ownsBrittle(e)) || !p.brittle.Named && e.unassigned != unassigned {
 			continue
 		}
-		if !s.usable(e) || r.hasTried(e) || !s.mayRun(r, e) || e.limited() && !e.hasPermit(s.now) {
+		if !s.usable(e) || r.hasTried(e) || !s.mayRun(r, e) || s.staysInZone(p, r, e) || e.limited() && !e.hasPermit(s.now) {
 			continue
 		}
 		found = true
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/crash"
+	"github.com/balsamstair/balsamstair/internal/crossing"
 	"github.com/balsamstair/balsamstair/internal/origin"
 )
 
@@ -49,6 +50,10 @@
 	lookup       *lookup
 	originSource string
 	originWait   time.Duration
+	// departure is the crossing to another zone, or nil. hadRoom is set if the endpoint had
+	// a free slot for the request.
+	departure *departure
+	hadRoom   bool
 	// charged is the cost charged to the organisation's quota.
 	charged float64
 }
@@ -188,8 +193,8 @@
 	s.countPassedOver(r)
 	s.emit(Dispatch{
 		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued), Limited: e.limited() || s.pool(r.Service).brittle.Named, Software: r.sentTo,
-		LogFields: []any{"endpoint_load", e.load(), "endpoint_slots", e.slots, "endpoint_backlog_tokens", e.backlog(),
-			"waiting", len(s.pool(r.Service).waiting), "origin", r.originSource, "origin_wait_ms", r.originWait.Milliseconds()},
+		LogFields: append([]any{"endpoint_load", e.load(), "endpoint_slots", e.slots, "endpoint_backlog_tokens", e.backlog(),
+			"waiting", len(s.pool(r.Service).waiting), "origin", r.originSource, "origin_wait_ms", r.originWait.Milliseconds()}, s.departs(r, e)...),
 	})
 }
 
@@ -202,6 +207,7 @@
 		r.sentTo = software
 		r.streamBegun()
 	case r.endpoint != nil:
+		s.answerTimed(r)
 		r.endPrefill()
 		r.streamBegun()
 		r.endpoint.growWindow(s.now)
@@ -221,21 +227,6 @@
 	}
 }
 
-func (r *request) endPrefill() {
-	if r.prefilling {
-		r.endpoint.ownPrefill -= r.PromptTokens
-		r.prefilling = false
-	}
-}
-
-// releaseSlot removes the request from the load of its endpoint.
-func (s *State) releaseSlot(r *request) {
-	r.endPrefill()
-	r.endpoint.ownRunning--
-	s.loadChanged(r.endpoint)
-	r.endpoint = nil
-}
-
 // callerGone removes a queued request. If a dispatch crossed the event, nothing
 // was sent to the endpoint.
 func (s *State) callerGone(id RequestID) {
@@ -259,6 +250,7 @@
 // removeRequest ends a request and refunds its charge if it never ran.
 func (s *State) removeRequest(r *request) {
 	s.endTrial(r)
+	s.crossingEnded(r, crossing.Unclear)
 	if r.Forwarding != nil {
 		s.forwarded--
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -26,6 +26,10 @@
 	// EndpointHeartbeat is the interval at which endpoints renew their entries in
 	// the directory.
 	EndpointHeartbeat time.Duration
+	// AdaptiveCrossing lets package crossing decide which requests leave the zone, with
+	// CrossingCost as the least gain of one. Otherwise leaving has a constant cost.
+	AdaptiveCrossing bool
+	CrossingCost     time.Duration
 }
 
 // Bounds are the operator's requirements for the deployment.
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -4,6 +4,7 @@
 	"os"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/crossing"
 	"github.com/balsamstair/balsamstair/internal/strict"
 	"github.com/cockroachdb/errors"
 )
@@ -32,6 +33,7 @@
 	Seeds  []string     `toml:"seeds"`
 	Bounds RoutedBounds `toml:"bounds"`
 	Limits RoutedLimits `toml:"limits"`
+	Zones  RoutedZones  `toml:"zones"`
 }
 
 // EndpointHeartbeat returns EndpointHeartbeatMS as a duration.
@@ -80,6 +82,31 @@
 	return time.Duration(l.IdleTimeoutMS) * time.Millisecond
 }
 
+// Values of RoutedZones.Crossing.
+const (
+	// CrossingFixed gives leaving the zone a constant cost.
+	CrossingFixed = "fixed"
+	// CrossingAdaptive lets requests leave that the own zone does not serve in time.
+	CrossingAdaptive = "adaptive"
+)
+
+// maxCrossingCostMS is the largest crossing_cost_ms. A larger gain is not to be had
+// within the latency objectives of requests.
+const maxCrossingCostMS = 10_000
+
+// RoutedZones determines when requests leave the availability zone of the instance. The
+// values must be the same at all instances, which assign endpoints to each other by them.
+type RoutedZones struct {
+	// Crossing is CrossingFixed or CrossingAdaptive.
+	Crossing string `toml:"crossing"`
+	// CrossingCostMS is the time, in milliseconds, that a caller must gain at least by a
+	// crossing of few tokens; larger requests must gain more.
+	CrossingCostMS float64 `toml:"crossing_cost_ms"`
+}
+
+// CrossingCost returns CrossingCostMS as a duration.
+func (z *RoutedZones) CrossingCost() time.Duration { return seconds(z.CrossingCostMS / 1000) }
+
 // RoutedDefaults returns the values of settings that a file does not set.
 func RoutedDefaults() Routed {
 	return Routed{
@@ -87,6 +114,7 @@
 
 		Bounds: RoutedBounds{RetryRatio: 0.1, RetryExtra: 10, RetryWindowS: 10, GraceS: 30},
 		Limits: RoutedLimits{MemoryMB: 512, IdleTimeoutMS: 60_000},
+		Zones:  RoutedZones{Crossing: CrossingFixed, CrossingCostMS: float64(crossing.DefaultCost) / float64(time.Millisecond)},
 	}
 }
 
@@ -158,6 +186,16 @@
 	if s.Limits.IdleTimeoutMS < 1 || s.Limits.IdleTimeoutMS > maxTimeMS {
 		report.Add(key("limits.idle_timeout_ms"), "%d is not between 1 and %d", s.Limits.IdleTimeoutMS, maxTimeMS)
 	}
+	s.Zones.validate(report)
+}
+
+func (z *RoutedZones) validate(report *strict.Report) {
+	if z.Crossing != CrossingFixed && z.Crossing != CrossingAdaptive {
+		report.Add(key("zones.crossing"), "%q is neither %q nor %q", z.Crossing, CrossingFixed, CrossingAdaptive)
+	}
+	if !(z.CrossingCostMS >= 0 && z.CrossingCostMS <= maxCrossingCostMS) {
+		report.Add(key("zones.crossing_cost_ms"), "%v is not between 0 and %d", z.CrossingCostMS, maxCrossingCostMS)
+	}
 }
 
 // minMemoryMB is the smallest memory limit, in megabytes, with which the
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -35,6 +35,11 @@
 	must.Eq(t, 0.2, s.Bounds.RetryRatio)
 	must.Len(t, 2, s.Seeds)
 	must.Eq(t, time.Minute, s.Limits.IdleTimeout()) // default
+	must.Eq(t, RoutedZones{Crossing: CrossingFixed, CrossingCostMS: 5}, s.Zones)
+	s, err = ParseRouted([]byte(validRouted + "[zones]\ncrossing = \"adaptive\"\ncrossing_cost_ms = 2\n"))
+	must.NoError(t, err)
+	must.Eq(t, RoutedZones{Crossing: CrossingAdaptive, CrossingCostMS: 2}, s.Zones)
+	must.Eq(t, 2*time.Millisecond, s.Zones.CrossingCost())
 }
 
 // Each case changes validRouted and names the key to be reported: a missing key,
@@ -48,6 +53,9 @@
 		{`grace_s = 8`, `grace_s = -1`, "bounds.grace_s"},
 		{`retry_ratio = 0.2`, `retry_share = 0.2`, "bounds.retry_share"},
 		{`[bounds]`, "[limits]\nmemory_mb = 1\n[bounds]", "limits.memory_mb"},
+		{`[bounds]`, "[zones]\ncrossing = \"never\"\n[bounds]", "zones.crossing"},
+		{`[bounds]`, "[zones]\ncrossing_cost_ms = -1.0\n[bounds]", "zones.crossing_cost_ms"},
+		{`[bounds]`, "[zones]\ncrossing_cost_ms = nan\n[bounds]", "zones.crossing_cost_ms"},
 	} {
 		_, err := ParseRouted([]byte(strings.Replace(validRouted, c.old, c.new, 1)))
 		parseError := new(strict.Error)
