--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -240,7 +240,7 @@
 	cost := ((counted+1)/float64(e.slots) + float64(e.backlog())/fullBacklogTokens) * e.relativeLatency
 	switch {
 	case e.Zone != s.cfg.Zone:
-		cost += crossZoneCost / float64(e.slots)
+		cost += s.zoneCost / float64(e.slots)
 	case !e.preferred && !e.limited():
 		cost += nonPreferredCost / float64(e.slots)
 	}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -53,6 +53,8 @@
 	links *simLinks
 	// quota is the part in which an organisation exceeds its quota.
 	quota *simQuota
+	// zones is the part in which the zones' loads differ.
+	zones *simZones
 }
 
 type simInstance struct {
@@ -221,7 +223,7 @@
 		switch e := e.(type) {
 		case SendReport:
 			for _, to := range e.To {
-				if other := f.byAddress[to]; other != nil && f.connected(i.zone, other.zone) && !f.limits.lost(f) {
+				if other := f.byAddress[to]; other != nil && f.connected(i.zone, other.zone) && !f.limits.lost(f) && !f.zones.lost(f, i, other) {
 					f.after(simDelay, func() { f.step(other, PeerReported{Report: e.Report}) })
 				}
 			}
@@ -234,11 +236,13 @@
 			f.crashes.dispatched(f, job)
 			f.parts.dispatched(f, job)
 			f.quota.dispatched(f, job)
+			f.zones.dispatched(job, e.Endpoint.Zone)
 			f.after(simDelay, func() { f.arriveAtEngine(f.engines[e.Endpoint.ID], job) })
 		case Refuse:
 			f.refused++
 			f.crashes.refused(e.Reason)
 			f.limits.refused(f, i, e)
+			f.zones.refused()
 			f.endForward(i, e.ID, refusalAt(e))
 			f.parts.refused(i, e)
 			f.links.refused(i, e)
@@ -299,6 +303,7 @@
 // answerJob begins the answer to a job and ends it after its service time.
 func (f *simulation) answerJob(e *simEngine, job simJob) {
 	f.limits.answer(f, e, job)
+	f.zones.answered(f, job)
 	f.rests.answered(f, e, job)
 	if b := f.brittle.statement(); b.Named || f.brittle != nil && job.limited {
 		f.stepJob(job, AnswerReceived{ID: job.id, Brittle: b})
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -48,11 +48,13 @@
 // State is the control state of one instance. It is not safe for concurrent
 // use.
 type State struct {
-	cfg     Config
-	now     Instant
-	started Instant
-	rand    *rand.Rand
-	effects []Effect
+	cfg Config
+	// zoneCost is crossZoneCost, except in simulations of other policies.
+	zoneCost float64
+	now      Instant
+	started  Instant
+	rand     *rand.Rand
+	effects  []Effect
 
 	table     *routing.Table
 	platform  platformStatus
@@ -170,6 +172,7 @@
 func New(cfg Config, now Instant) *State {
 	s := &State{
 		cfg:            cfg,
+		zoneCost:       crossZoneCost,
 		now:            now,
 		started:        now,
 		rand:           rand.New(rand.NewPCG(cfg.RandomSeed, cfg.Incarnation)),
