Scheduler: loads of a member are listed once

In a large system no complete report with loads arrives from instances of other zones, so that each rise of a shared load from zero added an entry to the member's list, for as long as the member lived. TestLoadUpdatesDoNotAccumulate has 50 entries without the change's condition by construction of the loop, 1 with it.

--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -62,7 +63,7 @@
 		}
 		if l.Running == 0 {
 			l = EndpointLoad{}
-		} else if _, known := e.otherLoads[x.incarnation]; !known {
+		} else if _, known := e.otherLoads[x.incarnation]; !known && !slices.Contains(x.loads, l.Endpoint) {
 			x.loads = append(x.loads, l.Endpoint)
 		}
 		e.setOtherLoad(x.incarnation, l)
--- a/internal/scheduler/sharing_test.go
+++ b/internal/scheduler/sharing_test.go
@@ -109,3 +109,16 @@
 		must.GreaterEq(t, 0.95*min(load, 1), used)
 	}
 }
+
+// Guards against a list of loads that grows with each request of an instance of another
+// zone, whose reports replace it only in small systems.
+func TestLoadUpdatesDoNotAccumulate(t *testing.T) {
+	i := newServingInstance(t, 1, 4)
+	x := &member{incarnation: 7}
+	for n := range 100 {
+		i.s.applyLoadUpdate(x, []EndpointLoad{{Endpoint: "e0", Running: n % 2}})
+	}
+	must.Len(t, 1, x.loads)
+	i.s.clearLoads(x)
+	must.Eq(t, 0, i.s.endpoints["e0"].load())
+}
