--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -62,7 +63,7 @@
 		}
 		if l.Running == 0 {
 			l = EndpointLoad{}
-		} else if _, known := e.otherLoads[x.incarnation]; !known {
+		} else if _, known := e.otherLoads[x.incarnation]; !known && !slices.Contains(x.loads, l.Endpoint) {
 			x.loads = append(x.loads, l.Endpoint)
 		}
 		e.setOtherLoad(x.incarnation, l)
@@ -99,3 +100,18 @@
 	}
 	x.loads = x.loads[:0]
 }
+
+func (r *request) endPrefill() {
+	if r.prefilling {
+		r.endpoint.ownPrefill -= r.PromptTokens
+		r.prefilling = false
+	}
+}
+
+// releaseSlot removes the request from the load of its endpoint.
+func (s *State) releaseSlot(r *request) {
+	r.endPrefill()
+	r.endpoint.ownRunning--
+	s.loadChanged(r.endpoint)
+	r.endpoint = nil
+}
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -4,6 +4,7 @@
 	"os"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/crossing"
 	"github.com/balsamstair/balsamstair/internal/strict"
 	"github.com/cockroachdb/errors"
 )
@@ -32,6 +33,7 @@
 	Seeds  []string     `toml:"seeds"`
 	Bounds RoutedBounds `toml:"bounds"`
 	Limits RoutedLimits `toml:"limits"`
+	Zones  RoutedZones  `toml:"zones"`
 }
 
 // EndpointHeartbeat returns EndpointHeartbeatMS as a duration.
@@ -113,6 +115,31 @@
 	return time.Duration(l.IdleTimeoutMS) * time.Millisecond
 }
 
+// Values of RoutedZones.Crossing.
+const (
+	// CrossingFixed gives leaving the zone a constant cost.
+	CrossingFixed = "fixed"
+	// CrossingAdaptive lets requests leave that the own zone does not serve in time.
+	CrossingAdaptive = "adaptive"
+)
+
+// maxCrossingCostMS is the largest crossing_cost_ms. A larger gain is not to be had
+// within the latency objectives of requests.
+const maxCrossingCostMS = 10_000
+
+// RoutedZones determines when requests leave the availability zone of the instance. The
+// values must be the same at all instances, which assign endpoints to each other by them.
+type RoutedZones struct {
+	// Crossing is CrossingFixed or CrossingAdaptive.
+	Crossing string `toml:"crossing"`
+	// CrossingCostMS is the time, in milliseconds, that a caller must gain at least by a
+	// crossing of few tokens; larger requests must gain more.
+	CrossingCostMS float64 `toml:"crossing_cost_ms"`
+}
+
+// CrossingCost returns CrossingCostMS as a duration.
+func (z *RoutedZones) CrossingCost() time.Duration { return seconds(z.CrossingCostMS / 1000) }
+
 // RoutedDefaults returns the values of settings that a file does not set.
 func RoutedDefaults() Routed {
 	return Routed{
@@ -123,6 +150,7 @@
 			MemoryMB: 512, IdleTimeoutMS: 60_000, ClientMemoryPercent: 28,
 			BodyStallMS: 10_000, WriteStallMS: 10_000, HeadSlackBytes: 16 << 10,
 		},
+		Zones: RoutedZones{Crossing: CrossingFixed, CrossingCostMS: float64(crossing.DefaultCost) / float64(time.Millisecond)},
 	}
 }
 
@@ -192,6 +220,7 @@
 		report.Add(key("limits.memory_mb"), "%d is less than %d", s.Limits.MemoryMB, minMemoryMB)
 	}
 	s.Limits.validate(report)
+	s.Zones.validate(report)
 }
 
 // validate checks the limits that have a range.
@@ -224,6 +253,15 @@
 	}
 }
 
+func (z *RoutedZones) validate(report *strict.Report) {
+	if z.Crossing != CrossingFixed && z.Crossing != CrossingAdaptive {
+		report.Add(key("zones.crossing"), "%q is neither %q nor %q", z.Crossing, CrossingFixed, CrossingAdaptive)
+	}
+	if !(z.CrossingCostMS >= 0 && z.CrossingCostMS <= maxCrossingCostMS) {
+		report.Add(key("zones.crossing_cost_ms"), "%v is not between 0 and %d", z.CrossingCostMS, maxCrossingCostMS)
+	}
+}
+
 // minFileDescriptors is the smallest number of file descriptors with which the
 // process can run: those reserved for files, and some connections.
 const minFileDescriptors = 256
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -35,6 +35,11 @@
 	must.Eq(t, 0.2, s.Bounds.RetryRatio)
 	must.Len(t, 2, s.Seeds)
 	must.Eq(t, time.Minute, s.Limits.IdleTimeout()) // default
+	must.Eq(t, RoutedZones{Crossing: CrossingFixed, CrossingCostMS: 5}, s.Zones)
+	s, err = ParseRouted([]byte(validRouted + "[zones]\ncrossing = \"adaptive\"\ncrossing_cost_ms = 2\n"))
+	must.NoError(t, err)
+	must.Eq(t, RoutedZones{Crossing: CrossingAdaptive, CrossingCostMS: 2}, s.Zones)
+	must.Eq(t, 2*time.Millisecond, s.Zones.CrossingCost())
 }
 
 // Guards against a platform without a value for the descriptors (0), and against
@@ -67,6 +72,9 @@
 		{`[bounds]`, "[limits]\nbody_stall_ms = 99\n[bounds]", "limits.body_stall_ms"},
 		{`[bounds]`, "[limits]\nwrite_stall_ms = 0\n[bounds]", "limits.write_stall_ms"},
 		{`[bounds]`, "[limits]\nhead_slack_bytes = 10\n[bounds]", "limits.head_slack_bytes"},
+		{`[bounds]`, "[zones]\ncrossing = \"never\"\n[bounds]", "zones.crossing"},
+		{`[bounds]`, "[zones]\ncrossing_cost_ms = -1.0\n[bounds]", "zones.crossing_cost_ms"},
+		{`[bounds]`, "[zones]\ncrossing_cost_ms = nan\n[bounds]", "zones.crossing_cost_ms"},
 	} {
 		_, err := ParseRouted([]byte(strings.Replace(validRouted, c.old, c.new, 1)))
 		parseError := new(strict.Error)
