Platform, directory: evacuated zones and cold figures

op/evacuate/ZONE becomes Change.EvacuatedZone, ColdRemainingMs, ColdStartS and ColdPerS become Endpoint.ColdRemaining and Service.ColdStart/ColdPerSecond. Replicas keep evacuations as entries of their own. Relay JSON gains fields that are omitted when empty; instances of earlier releases ignore such changes. A listing says whether it contains evacuations, so that one from an earlier release or from before an evacuation ends none.

An invalid cold figure is reported as the change's problem and costs nothing else of the value.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -55,10 +55,14 @@
 	Started int64
 	// Version is the version of the endpoint's software, or empty if unknown.
 	Version string
+	// ColdRemaining is how much longer the endpoint is cold, as of when the entry was
+	// written, if ColdStated is set.
+	ColdRemaining time.Duration `json:",omitempty"`
+	ColdStated    bool          `json:",omitempty"`
 }
 
-// Change is the write or deletion of one key. At most one of Endpoint and
-// Config is set.
+// Change is the write or deletion of one key. At most one of Endpoint, Config and
+// EvacuatedZone is set.
 type Change struct {
 	Revision int64
 	// EndpointID identifies the endpoint that the key belongs to. It is empty
@@ -67,7 +71,12 @@
 	// Endpoint is nil if the entry was deleted or is not usable.
 	Endpoint *Endpoint
 	Config   *routing.Config
-	// Problem describes why a value could not be used.
+	// EvacuatedZone is the zone whose evacuation the key states. Deleted is set if the
+	// key was deleted, which ends the evacuation. Instances of earlier releases ignore
+	// such changes.
+	EvacuatedZone string `json:",omitempty"`
+	Deleted       bool   `json:",omitempty"`
+	// Problem describes why a value, or the part of one, could not be used.
 	Problem string
 }
 
@@ -84,6 +93,9 @@
 	// Late is set if the instance that served the read is itself waiting for an answer
 	// that is late.
 	Late bool `json:"-"`
+	// Evacuations is set if a listing contains the evacuations. It is not set by instances
+	// of earlier releases, whose listings do not end evacuations by lacking them.
+	Evacuations bool `json:",omitempty"`
 	// ConfigVersion is the version of the newest configuration that the instance which
 	// served the read knows of, or zero. Such a read does not contain configurations.
 	ConfigVersion int64 `json:"-"`
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -24,6 +24,8 @@
 	entries    map[string]Change
 	tombstones []Change
 	hasListing bool
+	// evacuations is set if the listing contained the evacuations.
+	evacuations bool
 	// compactRevision is the revision before which deletions are not retained.
 	compactRevision int64
 	// era and revision are the position of the data.
@@ -51,12 +53,17 @@
 	if c.Config != nil {
 		return ""
 	}
+	if c.EvacuatedZone != "" {
+		return "evacuation/" + c.EvacuatedZone
+	}
 	return "endpoint/" + c.EndpointID
 }
 
-// relevant reports whether the change belongs to the configuration or to an
-// endpoint.
-func (c Change) relevant() bool { return c.Config != nil || c.EndpointID != "" }
+// relevant reports whether the change belongs to the configuration, to an endpoint or to
+// an evacuation.
+func (c Change) relevant() bool {
+	return c.Config != nil || c.EndpointID != "" || c.EvacuatedZone != ""
+}
 
 // Apply applies the result of a read. Of failed reads only one whose answer is late
 // counts: readers must not wait for it.
@@ -80,6 +87,9 @@
 		r.apply(c)
 	}
 	r.hasListing = r.hasListing || u.Full
+	if u.Full {
+		r.evacuations = u.Batch.Evacuations
+	}
 	r.revision = max(r.revision, u.Batch.Revision)
 	r.announcedConfig = max(r.announcedConfig, u.Batch.ConfigVersion)
 	if !u.ConfigBehind {
@@ -118,7 +128,7 @@
 	if c.Config != nil && known.Config != nil && c.Config.Version < known.Config.Version {
 		return
 	}
-	if c.Config != nil || c.Endpoint != nil {
+	if c.Config != nil || c.Endpoint != nil || c.EvacuatedZone != "" && !c.Deleted {
 		r.entries[c.key()] = c
 		if c.Config != nil {
 			r.announcedConfig = max(r.announcedConfig, c.Config.Version)
@@ -141,7 +151,11 @@
 	for _, c := range b.Changes {
 		listed[c.key()] = true
 	}
-	for key := range r.entries {
+	for key, known := range r.entries {
+		if known.EvacuatedZone != "" && (!b.Evacuations || known.Revision > b.Revision) {
+			// The listing says nothing about it.
+			continue
+		}
 		if key != "" && !listed[key] {
 			delete(r.entries, key)
 			r.compactRevision = max(r.compactRevision, b.Revision)
@@ -187,7 +201,7 @@
 	if !r.hasListing || after > 0 && (after < r.compactRevision || r.otherHistory(position)) {
 		return Batch{Era: r.era}, 0, ErrCompacted
 	}
-	batch := Batch{Era: r.era, Revision: max(r.revision, after), Late: r.lateSince != 0, ConfigVersion: r.announcedConfig}
+	batch := Batch{Era: r.era, Revision: max(r.revision, after), Late: r.lateSince != 0, ConfigVersion: r.announcedConfig, Evacuations: r.evacuations}
 	for _, c := range r.entries {
 		if c.Revision > after || after == 0 {
 			batch.Changes = append(batch.Changes, c)
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -76,6 +76,11 @@
 	Engine bool
 	// Slots is the concurrency of an endpoint whose entry sets none.
 	Slots int
+	// ColdStart is for how long a newly started endpoint is cold. ColdPerSecond is the
+	// number of requests per second that a cold endpoint takes from all callers
+	// together; zero means no such limit.
+	ColdStart     time.Duration `json:",omitempty"`
+	ColdPerSecond float64       `json:",omitempty"`
 }
 
 // Quota limits an organisation's usage across all instances with a token
