Scheduler: no requests to endpoints of evacuated zones

internal/evacuation decides which zones are evacuated. Endpoints of such a zone are neither usable nor available, by any path: dispatch, second attempt, resumed stream, forwarded request, permit or brittle owner. Their software does not count for the assignment of streams. Queued requests without any other endpoint are refused as not run with a pause. A restored zone starts slowly. A listing that lacks the key ends the evacuation unless it says nothing about it.

--- a/internal/scheduler/backoff.go
+++ b/internal/scheduler/backoff.go
@@ -24,7 +24,7 @@
 func (s *State) backoffWait(p *pool) time.Duration {
 	first := Instant(math.MaxInt64)
 	for _, e := range p.endpoints {
-		if e.Leaving {
+		if e.Leaving || e.evacuated {
 			continue
 		}
 		if e.backoffUntil <= s.now {
--- a/internal/scheduler/brittle.go
+++ b/internal/scheduler/brittle.go
@@ -226,7 +226,7 @@
 	bestCost := 0.0
 	for _, e := range p.endpoints {
 		x := s.members.byAddress[e.brittle.owner]
-		if x == nil || e.Leaving || s.now < e.withdrawnUntil || s.now < e.suspendedUntil || r.hasTried(e) || !s.mayRun(r, e) ||
+		if x == nil || e.Leaving || e.evacuated || s.now < e.withdrawnUntil || s.now < e.suspendedUntil || r.hasTried(e) || !s.mayRun(r, e) ||
 			s.now < x.avoidUntil || slices.Contains(r.peersTried, x.address) || !s.members.reachable(x, s.now) {
 			continue
 		}
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -213,4 +213,9 @@
 	// permit: those sent to another endpoint, and those that were queued.
 	CounterPermits Counter = "routed_permits_total"
 	CounterLimited Counter = "routed_limited_requests_total"
+	// CounterEvacuations counts the evacuations of zones that have begun and ended,
+	// CounterEvacuated the requests that were not sent to an endpoint of an evacuated
+	// zone, by sent_elsewhere or refused.
+	CounterEvacuations Counter = "zone_evacuations_total"
+	CounterEvacuated   Counter = "routed_evacuated_requests_total"
 )
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -56,6 +56,8 @@
 	// or zero while it is listed.
 	lapsedAt Instant
 	removed  bool
+	// evacuated is set while the endpoint's zone is evacuated.
+	evacuated bool
 	// preferred is set if this instance is one of those of the endpoint's zone
 	// that use it by preference.
 	preferred bool
@@ -177,6 +179,7 @@
 		s.departed(e.incarnation(), revision, false)
 	}
 	e.Endpoint = entry
+	e.evacuated = s.evacuations.Evacuated(entry.Zone)
 	e.revision = revision
 	if revision > e.withdrawnRevision {
 		e.withdrawnUntil = 0
--- a/internal/scheduler/limit_admission.go
+++ b/internal/scheduler/limit_admission.go
@@ -21,7 +21,7 @@
 	}
 	found := false
 	for _, e := range p.endpoints {
-		if e.Leaving || s.now < e.suspendedUntil {
+		if e.Leaving || e.evacuated || s.now < e.suspendedUntil {
 			continue
 		}
 		if !e.limited() {
@@ -38,7 +38,7 @@
 func (s *State) limitedRate(p *pool) float64 {
 	rate := 0.0
 	for _, e := range p.endpoints {
-		if !e.Leaving && !e.unassigned && e.limited() {
+		if !e.Leaving && !e.evacuated && !e.unassigned && e.limited() {
 			rate += e.limit.PerSecond / float64(s.instancesUsing(e))
 		}
 	}
--- a/internal/scheduler/path.go
+++ b/internal/scheduler/path.go
@@ -96,7 +96,7 @@
 	}
 	failed, available := 0, 0
 	for _, other := range p.endpoints {
-		if other.Leaving || other.unassigned {
+		if other.Leaving || other.evacuated || other.unassigned {
 			continue
 		}
 		available++
@@ -315,7 +315,7 @@
 	paths := &p.paths
 	assigned, reached := 0, 0
 	for _, e := range p.endpoints {
-		if e.Leaving || e.unassigned {
+		if e.Leaving || e.evacuated || e.unassigned {
 			continue
 		}
 		assigned++
@@ -352,7 +352,7 @@
 		return 0
 	}
 	for _, e := range p.endpoints {
-		if !e.Leaving && e.path.reaches(p.paths.lostAt) {
+		if !e.Leaving && !e.evacuated && e.path.reaches(p.paths.lostAt) {
 			n++
 		}
 	}
--- a/internal/scheduler/permit_holder.go
+++ b/internal/scheduler/permit_holder.go
@@ -174,7 +174,7 @@
 // endpoint of the service has a limit.
 func (s *State) wantedPermits(e *endpoint) (int, uint32) {
 	p := s.pool(e.Service)
-	if e.unassigned || e.Leaving {
+	if e.unassigned || e.Leaving || e.evacuated {
 		return 0, notUrgent
 	}
 	if len(p.waiting) > 0 {
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -139,11 +139,15 @@
 }
 
 func (s *State) applyBatch(u directory.Update) {
-	listed := map[string]bool{}
+	listed, evacuated := map[string]bool{}, map[string]bool{}
+	if u.NewHistory {
+		s.evacuations.ResetRevisions()
+	}
 	s.listingAll = u.Full
 	for _, c := range u.Batch.Changes {
 		if c.Problem != "" {
-			s.log("entry_unusable", "endpoint", c.EndpointID, "revision", c.Revision, "problem", c.Problem)
+			s.log("entry_unusable", "endpoint", c.EndpointID, "zone", c.EvacuatedZone, "revision", c.Revision,
+				"in_part", c.Endpoint != nil || c.Config != nil || c.EvacuatedZone != "", "problem", c.Problem)
 		}
 		switch {
 		case c.Config != nil:
@@ -158,9 +162,13 @@
 		case c.EndpointID != "":
 			delete(s.held, c.EndpointID)
 			s.endpointGone(c.EndpointID, c.Revision)
+		case c.EvacuatedZone != "":
+			evacuated[c.EvacuatedZone] = !c.Deleted
+			s.evacuationChanged(c)
 		}
 	}
 	if u.Full {
+		s.endUnlistedEvacuations(u, evacuated)
 		for id := range s.held {
 			if !listed[id] {
 				delete(s.held, id)
@@ -174,6 +182,7 @@
 	}
 	s.listingAll = false
 	s.initNewEndpoints()
+	s.refuseEvacuated()
 	for _, p := range s.poolOrder {
 		s.recordShares(p)
 		s.dispatchWaiting(p)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -267,7 +267,7 @@
 // usable reports whether e may receive new requests now. After a suspension,
 // one request at a time probes the endpoint until one completes.
 func (s *State) usable(e *endpoint) bool {
-	if e.Leaving || s.now < e.suspendedUntil || s.now < e.pausedUntil || s.now < e.backoffUntil || s.now < e.withdrawnUntil {
+	if e.Leaving || e.evacuated || s.now < e.suspendedUntil || s.now < e.pausedUntil || s.now < e.backoffUntil || s.now < e.withdrawnUntil {
 		return false
 	}
 	if paths := &s.pool(e.Service).paths; paths.lost && (paths.damped || !e.path.reaches(paths.lostAt)) {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -158,10 +158,10 @@
 }
 
 // hasAvailableEndpoint reports whether the pool has any endpoint that is not
-// leaving, even if it can't take a request now.
+// leaving or evacuated, even if it can't take a request now.
 func (s *State) hasAvailableEndpoint(p *pool) bool {
 	for _, e := range p.endpoints {
-		if !e.Leaving {
+		if !e.Leaving && !e.evacuated {
 			return true
 		}
 	}
@@ -186,6 +186,7 @@
 		e.brittle.unconfirmed = append(e.brittle.unconfirmed, s.now)
 	}
 	s.countPassedOver(r)
+	s.countEvacuated(r.Service, "sent_elsewhere")
 	s.emit(Dispatch{
 		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued), Limited: e.limited() || s.pool(r.Service).brittle.Named, Software: r.sentTo,
 		LogFields: []any{"endpoint_load", e.load(), "endpoint_slots", e.slots, "endpoint_backlog_tokens", e.backlog(),
@@ -270,6 +271,7 @@
 
 func (s *State) refuse(r *request, reason Reason, retryAfter time.Duration) {
 	s.count(CounterRefusals, string(reason))
+	s.countEvacuated(r.Service, "refused")
 	s.emit(Refuse{
 		ID: r.ID, Reason: reason, NotRun: !r.mayHaveRun, RetryAfter: retryAfter, LogFields: s.refusalBasis(r),
 	})
@@ -284,7 +286,7 @@
 			usable++
 		}
 	}
-	out := []any{"waiting", len(p.waiting), "endpoints", len(p.endpoints), "usable", usable, "instances", 1 + len(s.members.byAddress)}
+	out := []any{"waiting", len(p.waiting), "endpoints", len(p.endpoints), "usable", usable, "evacuated", s.evacuatedEndpoints(p), "instances", 1 + len(s.members.byAddress)}
 	if v, cause := s.judge(r); v != cleared {
 		out = append(out, s.crashBasis(cause)...)
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/balsamstair/balsamstair/internal/evacuation"
 	"github.com/balsamstair/balsamstair/internal/origin"
 	"github.com/balsamstair/balsamstair/internal/routing"
 )
@@ -114,7 +115,11 @@
 	endpointsChanged   bool
 	// newEndpoints holds the endpoints first listed by the current read.
 	newEndpoints []*endpoint
-	readPlan     directory.ReadPlan
+	// evacuations holds the evacuated zones. evacuationChangedNow is set if they have
+	// changed during the current read.
+	evacuations          evacuation.Zones
+	evacuationChangedNow bool
+	readPlan             directory.ReadPlan
 	// changedLoads holds endpoints whose load may have to be sent to their
 	// sharers.
 	changedLoads []*endpoint
--- a/internal/scheduler/stream_assignment.go
+++ b/internal/scheduler/stream_assignment.go
@@ -64,7 +64,7 @@
 func sharesOf(endpoints []*endpoint) []origin.Share {
 	var out []origin.Share
 	for _, e := range endpoints {
-		if !e.Leaving {
+		if !e.Leaving && !e.evacuated {
 			out = addShare(out, e.software, e.slots)
 		}
 	}
@@ -135,6 +135,7 @@
 // first configuration no instance had a route, so nothing began.
 func (s *State) addPastShares(changes []directory.Change) {
 	endpoints := map[string]directory.Endpoint{}
+	evacuated := map[string]bool{}
 	configured := false
 	for _, c := range changes {
 		switch {
@@ -143,20 +144,25 @@
 			s.recordRoutes(c.Config)
 		case c.Endpoint != nil && !c.Endpoint.Leaving:
 			endpoints[c.EndpointID] = *c.Endpoint
+		case c.EvacuatedZone != "":
+			evacuated[c.EvacuatedZone] = !c.Deleted
 		case c.EndpointID != "":
 			delete(endpoints, c.EndpointID)
 		}
 		if configured {
-			s.retireSharesOf(endpoints)
+			s.retireSharesOf(endpoints, evacuated)
 		}
 	}
 }
 
 // retireSharesOf adds the shares of endpoints that were listed before this instance
-// started to the past ones of their services.
-func (s *State) retireSharesOf(endpoints map[string]directory.Endpoint) {
+// started, outside the zones that were evacuated then, to the past ones of their services.
+func (s *State) retireSharesOf(endpoints map[string]directory.Endpoint, evacuated map[string]bool) {
 	byService := map[string][]origin.Share{}
 	for _, id := range slices.Sorted(maps.Keys(endpoints)) {
+		if evacuated[endpoints[id].Zone] {
+			continue
+		}
 		e := endpoint{Endpoint: endpoints[id]}
 		e.updateSlots(s.table)
 		byService[e.Service] = addShare(byService[e.Service], origin.SoftwareOf(e.Service, e.Version), e.slots)
