Scheduler: rate of cold endpoints, sharing for evacuated zones

Instances of an evacuated zone count as instances of another zone that serves the service, by rendezvous hashing, so they share its endpoints; reads keep the true zones. internal/warmup decides until when a process is cold; while it is and its service has ColdPerS, permits limit its requests as a stated limit does. The full rate is issued with a burst of 0.1 s and no bonus for partitions, and no permits for two seconds after the start of an instance that may not know the others. Cold limits are not reported to other instances.

--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -114,13 +114,18 @@
 		inZone[group{e.Service, e.Zone}] = append(inZone[group{e.Service, e.Zone}], e)
 		all[e.Service]++
 	}
+	// candidates are the instances by service, each with the zone whose endpoints it shares.
+	candidates := map[string][]candidate{}
+	for service := range all {
+		candidates[service] = s.adoptedInstances(service)
+	}
 	local := map[string][]string{}
 	for g, endpoints := range inZone {
-		inside, outside := splitByZone(s.reachableInstances, g.zone)
+		inside, outside := splitByZone(candidates[g.service], g.zone)
 		assignLocal(local, endpoints, inside, remoteSharers(len(outside), all[g.service]-len(endpoints)))
 	}
 	for _, e := range s.endpoints {
-		_, outside := splitByZone(s.reachableInstances, e.Zone)
+		_, outside := splitByZone(candidates[e.Service], e.Zone)
 		elsewhere := all[e.Service] - len(inZone[group{e.Service, e.Zone}])
 		local := local[e.ID]
 		sharers := slices.Concat(local, topByHash(e.ID, outside, remoteSharers(len(outside), elsewhere)))
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -213,6 +213,9 @@
 	// permit: those sent to another endpoint, and those that were queued.
 	CounterPermits Counter = "routed_permits_total"
 	CounterLimited Counter = "routed_limited_requests_total"
+	// CounterCold counts the endpoints that became cold or warm, and the requests that were
+	// sent elsewhere since a cold endpoint had no permit.
+	CounterCold Counter = "routed_cold_endpoints_total"
 	// CounterEvacuations counts the evacuations of zones that have begun and ended,
 	// CounterEvacuated the requests that were not sent to an endpoint of an evacuated
 	// zone, by sent_elsewhere or refused.
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -7,6 +7,7 @@
 	"github.com/balsamstair/balsamstair/internal/directory"
 	"github.com/balsamstair/balsamstair/internal/origin"
 	"github.com/balsamstair/balsamstair/internal/routing"
+	"github.com/balsamstair/balsamstair/internal/warmup"
 )
 
 const (
@@ -118,6 +119,8 @@
 	// backoffUntil is when the backoff ends that the endpoint requested from this instance.
 	backoffUntil Instant
 	brittle      brittleEndpoint
+	// warmup is what is known about the coldness of the process.
+	warmup warmup.Process
 	// limit is the rate limit that the endpoint named, or nil if it named none.
 	limit *endpointLimit
 }
@@ -189,6 +192,7 @@
 	if added {
 		s.restoreLimit(e)
 	}
+	s.coldListed(e, entry, revision, added)
 	e.lapsedAt = 0
 	e.updateSlots(s.table)
 	s.pool(entry.Service).add(e)
--- a/internal/scheduler/evacuation.go
+++ b/internal/scheduler/evacuation.go
@@ -111,3 +111,30 @@
 		s.count(CounterEvacuated, label)
 	}
 }
+
+// adoptedInstances returns the reachable instances for the assignment of a service's
+// endpoints. Those of an evacuated zone, whose own endpoints get no requests, count as
+// instances of another zone that has endpoints of the service: each by rendezvous hashing
+// of its address, so that they spread over these zones. All instances compute the same.
+func (s *State) adoptedInstances(service string) []candidate {
+	if !s.evacuations.Any() {
+		return s.reachableInstances
+	}
+	var zones []string
+	for _, e := range s.pool(service).endpoints {
+		if !e.evacuated && !e.Leaving && !slices.Contains(zones, e.Zone) {
+			zones = append(zones, e.Zone)
+		}
+	}
+	if len(zones) == 0 {
+		return s.reachableInstances
+	}
+	slices.Sort(zones)
+	out := slices.Clone(s.reachableInstances)
+	for k, c := range out {
+		if s.evacuations.Evacuated(c.zone) && !slices.Contains(zones, c.zone) {
+			out[k].zone = rendezvous(service+"/"+c.address, zones)
+		}
+	}
+	return out
+}
--- a/internal/scheduler/evacuation_test.go
+++ b/internal/scheduler/evacuation_test.go
@@ -153,3 +153,57 @@
 	must.Zero(t, i.zonesOfLoad(20)["a"])
 	must.Positive(t, i.zonesOfLoad(20)["b"])
 }
+
+// Guards against instances of an evacuated zone that share few endpoints of other zones,
+// whose loads they learn late: each gets a full set, spread over the remaining zones, and
+// the other sharers of an endpoint know of it.
+func TestInstancesOfEvacuatedZoneShareEndpointsOfOthers(t *testing.T) {
+	const zones, evacuated = 4, "0"
+	f := newSimulation(84, zones, 90, 6)
+	f.advance(4 * time.Second)
+	f.read(evacuateAt(evacuated, 5))
+	f.advance(time.Second)
+	perZone, total := map[string]int{}, 0
+	for _, i := range f.instances {
+		usable := 0
+		for _, e := range i.s.endpoints {
+			if e.unassigned || e.Zone == evacuated {
+				continue
+			}
+			usable++
+			if i.zone == evacuated {
+				perZone[e.Zone]++
+			}
+			for _, sharer := range e.sharers {
+				other := f.byAddress[sharer].s.endpoints[e.ID]
+				must.False(t, other.unassigned)
+				must.SliceContains(t, other.sharers, i.address)
+			}
+		}
+		must.Positive(t, usable, must.Sprintf("instance of zone %s", i.zone))
+		if i.zone == evacuated {
+			total += usable
+		}
+	}
+	t.Logf("endpoints of instances of the evacuated zone: %v", perZone)
+	must.MapLen(t, zones-1, perZone)
+	must.GreaterEq(t, meanLocalAssignments*len(f.instances)/zones, total)
+	f.read(directory.Change{EvacuatedZone: evacuated, Revision: 6, Deleted: true})
+	f.advance(time.Second)
+	for _, i := range f.instances {
+		for _, e := range i.s.endpoints {
+			must.False(t, e.preferred && e.Zone != i.zone)
+		}
+	}
+}
+
+func evacuateAt(zone string, revision int64) directory.Change {
+	return directory.Change{EvacuatedZone: zone, Revision: revision}
+}
+
+// read delivers changes to all instances at the same moment.
+func (f *simulation) read(changes ...directory.Change) {
+	for _, i := range f.instances {
+		f.step(i, DirectoryRead{Update: directory.Update{ReadAt: int64(f.now), Batch: directory.Batch{Changes: changes}}})
+	}
+}
--- a/internal/scheduler/history.go
+++ b/internal/scheduler/history.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/directory"
+	"github.com/balsamstair/balsamstair/internal/warmup"
 )
 
 const (
@@ -19,6 +20,7 @@
 type goneEndpoint struct {
 	at      Instant
 	leaving bool
+	warmup  warmup.Process
 }
 
 // heldEntry is an entry that a copy of the platform's data contains although it
@@ -48,7 +50,7 @@
 
 // endpointForgotten remembers the removal of an endpoint's entry.
 func (s *State) endpointForgotten(e *endpoint) {
-	s.gone[e.incarnation()] = goneEndpoint{at: s.now, leaving: e.Leaving}
+	s.gone[e.incarnation()] = goneEndpoint{at: s.now, leaving: e.Leaving, warmup: e.warmup}
 }
 
 // holdCopiedEntry reports whether an entry of a copy is not used for now, since
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -20,7 +20,11 @@
 // endpointLimit is what an instance knows about the rate limit of an endpoint's
 // process, and its part in keeping it.
 type endpointLimit struct {
+	// statement is the one that is believed. It is zero if there was none.
 	statement
+	// cold is the number of requests per second that the endpoint takes while it is cold,
+	// or zero. It is not part of what instances report to each other.
+	cold float64
 	// owner is the address of the instance that issues permits for requests to
 	// the endpoint. issuer is in use while that is this instance.
 	owner  string
@@ -63,7 +67,19 @@
 }
 
 // limited reports whether requests to e need permits.
-func (e *endpoint) limited() bool { return e.limit != nil && e.limit.Named }
+func (e *endpoint) limited() bool { return e.limit != nil && (e.limit.Named || e.limit.cold > 0) }
+
+// effective returns the requests per second that the endpoint takes: the lower of what it
+// has stated and what it takes while it is cold.
+func (l *endpointLimit) effective() float64 {
+	if l.cold > 0 && (!l.Named || l.cold < l.PerSecond) {
+		return l.cold
+	}
+	return l.PerSecond
+}
+
+// stated reports whether the endpoint has named or lifted a limit.
+func (l *endpointLimit) stated() bool { return l.received != 0 }
 
 // answerReceived records what the head of an answer says about its endpoint.
 func (s *State) answerReceived(ev AnswerReceived) {
@@ -78,7 +94,7 @@
 	if !ev.BrittleMalformed {
 		s.brittlenessStated(r, ev.Brittle)
 	}
-	if ev.LimitMalformed || !stated.Named && r.endpoint.limit == nil {
+	if ev.LimitMalformed || !stated.Named && (r.endpoint.limit == nil || !r.endpoint.limit.stated()) {
 		return
 	}
 	s.count(CounterLimitStatements, "observed")
@@ -122,14 +138,13 @@
 		e.limit = &endpointLimit{loggedAt: s.now}
 		s.limits = append(s.limits, e)
 	}
+	limited := e.limited()
 	e.limit.statement = n
 	switch {
-	case !n.Named:
+	case limited && !e.limited():
 		s.limitLifted(e)
-	case !before.Named:
-		e.limit.holder.reset()
-		e.limit.issuer = permitIssuer{refilledAt: s.now}
-		e.limit.owner = s.permitOwner(e)
+	case !limited && e.limited():
+		s.limitBegun(e)
 	}
 	s.log("endpoint_limit", "endpoint", e.ID, "named", n.Named, "per_second", n.PerSecond, "before_named", before.Named,
 		"before", before.PerSecond, "from", n.sourceName(), "age_ms", s.now.Sub(n.received).Milliseconds(), "owner", e.limit.owner)
@@ -144,6 +159,13 @@
 	return l.source
 }
 
+// limitBegun puts a limit in force at an endpoint that had none.
+func (s *State) limitBegun(e *endpoint) {
+	e.limit.holder.reset()
+	e.limit.issuer = permitIssuer{refilledAt: s.now}
+	e.limit.owner = s.permitOwner(e)
+}
+
 // limitLifted returns the endpoint to normal use, beginning slowly: all
 // instances learn of it at the same moment.
 func (s *State) limitLifted(e *endpoint) {
@@ -188,7 +210,7 @@
 		}
 	}
 	s.limits = slices.DeleteFunc(s.limits, func(e *endpoint) bool {
-		expired := !e.limit.Named && s.now.Sub(e.limit.received) > liftedRetention
+		expired := !e.limited() && s.now.Sub(e.limit.received) > liftedRetention
 		if expired {
 			e.limit = nil
 		}
@@ -219,17 +241,18 @@
 // limitReport returns the limits for a complete report, different ones at each
 // call.
 func (s *State) limitReport() []LimitStatement {
-	if len(s.limits) <= maxReportedLimits {
-		return s.limitStatements(s.limits)
+	limits := slices.DeleteFunc(slices.Clone(s.limits), func(e *endpoint) bool { return !e.limit.stated() })
+	if len(limits) <= maxReportedLimits {
+		return s.limitStatements(limits)
 	}
-	s.limitCursor = (s.limitCursor + maxReportedLimits) % len(s.limits)
-	return s.limitStatements(slices.Concat(s.limits[s.limitCursor:], s.limits[:s.limitCursor])[:maxReportedLimits])
+	s.limitCursor = (s.limitCursor + maxReportedLimits) % len(limits)
+	return s.limitStatements(slices.Concat(limits[s.limitCursor:], limits[:s.limitCursor])[:maxReportedLimits])
 }
 
 func (s *State) limitStatements(endpoints []*endpoint) []LimitStatement {
 	var out []LimitStatement
 	for _, e := range endpoints {
-		if e.limit == nil {
+		if e.limit == nil || !e.limit.stated() {
 			continue
 		}
 		out = append(out, LimitStatement{Endpoint: e.incarnation(), Limit: e.limit.RateLimit,
@@ -242,10 +265,10 @@
 func (s *State) logLimits() {
 	for _, e := range s.limits {
 		l := e.limit
-		if !l.Named || s.now.Sub(l.loggedAt) < limitLogInterval || e.unassigned && l.owner != s.cfg.Address {
+		if !e.limited() || s.now.Sub(l.loggedAt) < limitLogInterval || e.unassigned && l.owner != s.cfg.Address {
 			continue
 		}
-		s.log("endpoint_limit_use", "endpoint", e.ID, "per_second", l.PerSecond, "from", l.sourceName(),
+		s.log("endpoint_limit_use", "endpoint", e.ID, "per_second", l.effective(), "cold", l.cold > 0, "from", l.sourceName(),
 			"age_ms", s.now.Sub(l.received).Milliseconds(), "owner", l.owner, "share_percent", int64(100*s.permitShare()),
 			"for_ms", s.now.Sub(l.loggedAt).Milliseconds(), "issued", l.issuer.issued, "asking", len(l.issuer.asks),
 			"dispatched", l.dispatched, "passed_over", l.passedOver)
@@ -259,9 +282,10 @@
 		p.arrivals.update(s.now)
 		p.dispatches.update(s.now)
 	}
+	s.tickCold()
 	s.expireLimits()
 	for _, e := range s.limits {
-		if e.limit.Named && e.limit.owner == s.cfg.Address {
+		if e.limited() && e.limit.owner == s.cfg.Address {
 			s.issuePermits(e)
 		}
 	}
@@ -272,14 +296,18 @@
 // countPassedOver counts a request that is sent elsewhere, or was queued, because
 // an endpoint that it could be sent to has no permit.
 func (s *State) countPassedOver(r *request) {
-	passedOver := false
+	passedOver, cold := false, false
 	for _, e := range s.limits {
 		if e.Service == r.Service && e != r.endpoint && e.limited() && !e.unassigned && !e.hasPermit(s.now) && s.usable(e) {
 			e.limit.passedOver++
 			passedOver = true
+			cold = cold || e.limit.cold > 0
 		}
 	}
 	if passedOver {
 		s.count(CounterLimited, "sent_elsewhere")
 	}
+	if cold {
+		s.count(CounterCold, "sent_elsewhere")
+	}
 }
--- a/internal/scheduler/limit_admission.go
+++ b/internal/scheduler/limit_admission.go
@@ -39,7 +39,7 @@
 	rate := 0.0
 	for _, e := range p.endpoints {
 		if !e.Leaving && !e.evacuated && !e.unassigned && e.limited() {
-			rate += e.limit.PerSecond / float64(s.instancesUsing(e))
+			rate += e.limit.effective() / float64(s.instancesUsing(e))
 		}
 	}
 	return max(rate, p.dispatches.perSecond)
--- a/internal/scheduler/permit_issuer.go
+++ b/internal/scheduler/permit_issuer.go
@@ -89,12 +89,27 @@
 
 // permitsPerSecond returns the rate at which permits are issued.
 func (l *endpointLimit) permitsPerSecond() float64 {
+	if l.cold > 0 {
+		return max(min(l.cold, permitRateFractionOf(l.statement, l.cold)), minPermitsPerSecond)
+	}
 	return max(permitRateFraction*l.PerSecond, minPermitsPerSecond)
 }
 
+// permitRateFractionOf returns the part of a statement that is issued, or other if it
+// names no limit.
+func permitRateFractionOf(l statement, other float64) float64 {
+	if !l.Named {
+		return other
+	}
+	return permitRateFraction * l.PerSecond
+}
+
 // permitShare returns the fraction of a limit that the reachable instances may
 // use. The unreachable ones may have an owner of their own.
-func (s *State) permitShare() float64 {
+func (s *State) permitShare() float64 { return min(1, permitPartitionBonus*s.reachableShare()) }
+
+// reachableShare returns the fraction of the instances that this one reaches.
+func (s *State) reachableShare() float64 {
 	m := &s.members
 	reachable := 1
 	for _, x := range m.byAddress {
@@ -102,7 +117,7 @@
 			reachable++
 		}
 	}
-	return min(1, permitPartitionBonus*float64(reachable)/float64(m.instanceCount(s.now)))
+	return min(1, float64(reachable)/float64(m.instanceCount(s.now)))
 }
 
 func (l *endpointLimit) refill(now Instant, share float64) {
@@ -113,7 +128,11 @@
 }
 
 func (l *endpointLimit) maxLevel() float64 {
-	return max(1, l.permitsPerSecond()*permitBurstTime.Seconds())
+	burst := permitBurstTime
+	if l.cold > 0 {
+		burst = coldBurstTime
+	}
+	return max(1, l.permitsPerSecond()*burst.Seconds())
 }
 
 // permitAsked applies an instance's ask.
@@ -146,7 +165,15 @@
 func (s *State) issuePermits(e *endpoint) {
 	l := e.limit
 	i := &l.issuer
-	l.refill(s.now, s.permitShare())
+	share := s.permitShare()
+	if l.cold > 0 {
+		share = s.reachableShare()
+		if s.coldUnsettled() {
+			l.issuer.level, l.issuer.refilledAt = 0, s.now
+			return
+		}
+	}
+	l.refill(s.now, share)
 	i.asks = slices.DeleteFunc(i.asks, func(a *openAsk) bool { return s.now >= a.expiresAt })
 	grants := map[*openAsk]int{}
 	var order []*openAsk
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -225,6 +225,7 @@
 		e.updateSlots(s.table)
 		s.pool(e.Service).shares.stale = true
 	}
+	s.coldFiguresChanged()
 	s.emit(ConfigAdopted{Table: s.table})
 	s.log("config_adopted", "version", c.Version, "before", previous, "revision", revision,
 		"routes", len(c.Routes), "organisations", len(c.Organisations),
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -53,6 +53,8 @@
 	links *simLinks
 	// quota is the part in which an organisation exceeds its quota.
 	quota *simQuota
+	// configVersion is the version of the configuration in force if it is not the first.
+	configVersion int64
 }
 
 type simInstance struct {
@@ -347,7 +349,7 @@
 		r := f.limits.route(f, f.instances[n])
 		f.links.arrived(f, f.instances[n], f.nextID)
 		request := Request{
-			ID: f.nextID, Name: "r", Version: 1, Route: r, Service: service, Fingerprint: f.crashes.fingerprint(f.nextID), PromptTokens: 2000, Tokens: 2100,
+			ID: f.nextID, Name: "r", Version: max(1, f.configVersion), Route: r, Service: service, Fingerprint: f.crashes.fingerprint(f.nextID), PromptTokens: 2000, Tokens: 2100,
 			PromptParts:    f.parts.arriving(f, f.instances[n], f.nextID),
 			Organisation:   f.quota.organisation(f, f.instances[n], f.nextID),
 			CallerDeadline: f.now.Add(5 * time.Second), Deadline: f.now.Add(5 * time.Second),
