Scheduler: tests of cold endpoints that fail without their guards

The simulation of a cold return passed with the cold limit switched off, since its load was below the bound. New: no requests before a started instance knows others, a release of a whole service.

--- a/internal/scheduler/cold_test.go
+++ b/internal/scheduler/cold_test.go
@@ -114,7 +114,7 @@
 // requests of all instances at each cold endpoint in any second are counted.
 func TestColdReturnStaysWithinRate(t *testing.T) {
 	t.Parallel()
-	const perSecond, coldFor = 5.0, 4 * time.Second
+	const perSecond, coldFor = 1.0, 4 * time.Second
 	for _, size := range []struct{ instances, engines, slots int }{{6, 18, 10}, {84, 90, 6}} {
 		for _, restarted := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d_restarted=%v", size.instances, restarted), func(t *testing.T) {
@@ -126,7 +126,7 @@
 				config.Config.Organisations = f.quota.organisations()
 				f.configVersion = 2
 				f.read(config)
-				load := 0.3 * float64(size.engines*size.slots) / simServiceTime.Seconds()
+				load := 0.5 * float64(size.engines*size.slots) / simServiceTime.Seconds()
 				f.runLoad(load, 300*time.Millisecond)
 				var back, entries []directory.Change
 				for n := range size.engines {
@@ -165,3 +165,43 @@
 		}
 	}
 }
+
+// Guards against an instance that has just started, takes itself for the owner of all
+// limits since it knows no other, and sends a cold endpoint requests as all others do.
+func TestStartedInstanceSendsColdEndpointNothingBeforeItKnowsOthers(t *testing.T) {
+	cfg := testConfig()
+	cfg.Seeds = []string{"10.0.0.2:1"}
+	i := newInstance(t, cfg)
+	i.applySnapshot(coldConfig(1, 0, 50), cold(0, 1, 5, time.Hour))
+	for i.now.Sub(i.s.started) < coldSettleTime-TickInterval {
+		i.arrive(route("r", 0), nil)
+		i.advance(TickInterval)
+		must.SliceEmpty(t, i.order)
+	}
+	i.advance(500 * time.Millisecond)
+	must.Positive(t, len(i.order))
+}
+
+// Guards against a release that makes all endpoints of a service cold and requests that
+// reach them beyond their rate, or that are refused as if they had run.
+func TestReleaseOfWholeServiceStaysWithinRate(t *testing.T) {
+	i := newInstance(t, testConfig())
+	i.applySnapshot(coldConfig(1, 10*time.Second, 4), engine(0, 10), engine(1, 10))
+	for n := range 2 {
+		replaced := engine(n, 10)
+		replaced.Endpoint.Started = 2
+		i.applyChanges(replaced)
+	}
+	i.advance(time.Second)
+	i.order = nil
+	for range 80 {
+		i.arrive(route("r", 0), nil)
+		i.advance(TickInterval)
+	}
+	must.Between(t, 8, len(i.order), 2*(2*4+2))
+	must.Positive(t, len(i.refused))
+	for _, got := range i.refused {
+		must.True(t, got.NotRun)
+		must.Positive(t, got.RetryAfter)
+	}
+}
