--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -218,4 +218,12 @@
 	// prompts and answers.
 	CounterCrossings     Counter = "routed_crossings_total"
 	CounterCrossingBytes Counter = "routed_crossing_bytes_total"
+	// CounterCold counts the endpoints that became cold or warm, and the requests that were
+	// sent elsewhere since a cold endpoint had no permit.
+	CounterCold Counter = "routed_cold_endpoints_total"
+	// CounterEvacuations counts the evacuations of zones that have begun and ended,
+	// CounterEvacuated the requests that were not sent to an endpoint of an evacuated
+	// zone, by sent_elsewhere or refused.
+	CounterEvacuations Counter = "zone_evacuations_total"
+	CounterEvacuated   Counter = "routed_evacuated_requests_total"
 )
--- a/internal/scheduler/zone_crossing.go
+++ b/internal/scheduler/zone_crossing.go
@@ -62,14 +62,18 @@
 // divide the rate of endpoints that limit it among all instances, and streams that go on
 // have a choice of few endpoints.
 func (s *State) staysInZone(p *pool, r *request, e *endpoint) bool {
-	return e.Zone != s.cfg.Zone && s.crossingAdapts(p) && !r.bound && !e.limited()
+	return !s.shares(e) && s.crossingAdapts(p) && !r.bound && !e.limited()
 }
 
+// shares reports whether an endpoint is of the own zone, or of the zone whose endpoints
+// this instance shares while its own has none.
+func (s *State) shares(e *endpoint) bool { return e.Zone == s.cfg.Zone || e.preferred }
+
 // reviewZone returns the request to be dispatched next and its endpoint, or nil, given
 // those that the own zone allows.
 func (s *State) reviewZone(p *pool, r *request, e *endpoint) (*request, *endpoint) {
 	switch {
-	case !s.crossingAdapts(p) || e != nil && (e.load() < e.slots || e.Zone != s.cfg.Zone || r.bound):
+	case !s.crossingAdapts(p) || e != nil && (e.load() < e.slots || !s.shares(e) || r.bound):
 		return r, e
 	case e != nil:
 		if x := s.leaveFor(p, r, s.viewZones(p, r), s.expect(p, r, e)); x != nil {
@@ -137,7 +141,7 @@
 		if r.hasTried(e) || !s.mayRun(r, e) || e.unassigned {
 			continue
 		}
-		if e.Zone == s.cfg.Zone {
+		if s.shares(e) {
 			v.running += e.ownRunning
 			v.nowhere = v.nowhere && !s.usable(e) && !s.resumesSoon(e)
 			continue
