--- a/internal/scheduler/evacuation.go
+++ b/internal/scheduler/evacuation.go
@@ -138,3 +138,9 @@
 	}
 	return out
 }
+
+// countRefusal counts a refusal.
+func (s *State) countRefusal(r *request, reason Reason) {
+	s.count(CounterRefusals, string(reason))
+	s.countEvacuated(r.Service, "refused")
+}
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -296,6 +296,7 @@
 // countPassedOver counts a request that is sent elsewhere, or was queued, because
 // an endpoint that it could be sent to has no permit.
 func (s *State) countPassedOver(r *request) {
+	s.countEvacuated(r.Service, "sent_elsewhere")
 	passedOver, cold := false, false
 	for _, e := range s.limits {
 		if e.Service == r.Service && e != r.endpoint && e.limited() && !e.unassigned && !e.hasPermit(s.now) && s.usable(e) {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -186,7 +186,6 @@
 		e.brittle.unconfirmed = append(e.brittle.unconfirmed, s.now)
 	}
 	s.countPassedOver(r)
-	s.countEvacuated(r.Service, "sent_elsewhere")
 	s.emit(Dispatch{
 		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued), Limited: e.limited() || s.pool(r.Service).brittle.Named, Software: r.sentTo,
 		LogFields: []any{"endpoint_load", e.load(), "endpoint_slots", e.slots, "endpoint_backlog_tokens", e.backlog(),
@@ -270,8 +269,7 @@
 }
 
 func (s *State) refuse(r *request, reason Reason, retryAfter time.Duration) {
-	s.count(CounterRefusals, string(reason))
-	s.countEvacuated(r.Service, "refused")
+	s.countRefusal(r, reason)
 	s.emit(Refuse{
 		ID: r.ID, Reason: reason, NotRun: !r.mayHaveRun, RetryAfter: retryAfter, LogFields: s.refusalBasis(r),
 	})
