Queue = deadline: late requests wait behind those in time

A request left the queue after half of its latency target, though a late response is worth more than a refusal. With [scheduling] queue = "deadline" it waits while its route's recent run time, with a margin, still fits before the deadline, for half of the caller's time at most, behind all requests that can meet their target. What the queue ahead leaves no time for is refused at once (expected_delay), as is what exceeds the number that may wait (queue_full). The default is "target", as before.

internal/patience and internal/settings pass. Of internal/scheduler the tests whose names match waiting, queues, ranks, retries, refusals, backoff, permits, rests and brittle endpoints pass (109 s); the whole package was not finished within go test's ten minutes while the machine's load average was 40, so it has not been run to its end.

--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -98,6 +98,7 @@
 		RandomSeed:  incarnation,
 
 		EndpointHeartbeat: cfg.EndpointHeartbeat(),
+		WaitForDeadline:   cfg.Scheduling.Queue == settings.QueueDeadline,
 		Bounds: scheduler.Bounds{
 			Revocation:  cfg.Bounds.Revocation(),
 			RetryRatio:  cfg.Bounds.RetryRatio,
--- a/internal/scheduler/backoff.go
+++ b/internal/scheduler/backoff.go
@@ -47,7 +47,7 @@
 	}
 	var refused []*request
 	for _, r := range p.waiting {
-		if s.now.Add(wait) > r.queueDeadline(maxQueueTime(r.Route.Target)) {
+		if s.now.Add(wait) > s.leavesQueueAt(r) {
 			refused = append(refused, r)
 		}
 	}
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -134,6 +134,11 @@
 	NoEndpoint Reason = "no_endpoint"
 	// QueueDelay means that the request could not be started in time.
 	QueueDelay Reason = "queue_delay"
+	// ExpectedDelay means that the queue ahead of the request would take longer than it
+	// may wait.
+	ExpectedDelay Reason = "expected_delay"
+	// QueueFull means that too many requests wait at the instance.
+	QueueFull Reason = "queue_full"
 	// EndpointsFull means that endpoints rejected the request.
 	EndpointsFull Reason = "endpoints_full"
 	// LimitReached means that all endpoints limit the rate of requests and that
@@ -165,7 +170,7 @@
 
 // Reasons returns the complete list of reasons.
 func Reasons() []Reason {
-	return []Reason{ConfigUnknown, ConfigStale, QuotaExceeded, NoEndpoint, QueueDelay, EndpointsFull,
+	return []Reason{ConfigUnknown, ConfigStale, QuotaExceeded, NoEndpoint, QueueDelay, ExpectedDelay, QueueFull, EndpointsFull,
 		LimitReached, EndpointsResting, CrashSuspect, StreamOriginUnknown, StreamVersionGone, PeerBusy, AttemptsUsed, RetryBudgetUsed, NotRepeatable, DeadlinePassed}
 }
 
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -322,6 +322,7 @@
 		e.failures = 0
 		e.growWindow(s.now)
 		s.recordLatency(e, r, a)
+		s.pool(e.Service).recordRun(r, a, s.now)
 	case Abandoned:
 		return
 	}
--- a/internal/scheduler/forward.go
+++ b/internal/scheduler/forward.go
@@ -165,7 +165,7 @@
 // final reports whether a refusal by another instance would be that of any.
 func (r Reason) final() bool {
 	switch r {
-	case QueueDelay, LimitReached, EndpointsResting, CrashSuspect, StreamOriginUnknown, StreamVersionGone, DeadlinePassed:
+	case QueueDelay, ExpectedDelay, LimitReached, EndpointsResting, CrashSuspect, StreamOriginUnknown, StreamVersionGone, DeadlinePassed:
 		return true
 	}
 	return false
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -11,7 +11,7 @@
 	service string
 	// endpoints are sorted by ID.
 	endpoints []*endpoint
-	// waiting is sorted by rank, then by arrival.
+	// waiting is sorted by rank, then by arrival. Late requests follow the others.
 	waiting []*request
 	// held holds the requests that wait for evidence against their causes, in order
 	// of arrival.
@@ -20,7 +20,11 @@
 	// streams that they go on with.
 	looking      []*request
 	latencyMeans map[latencyKey]float64
-	budget       budget
+	// runs holds the times of completed requests by route, slotTime is the moving average
+	// of how long any request held a slot, in nanoseconds, or zero.
+	runs     map[string]runTimes
+	slotTime float64
+	budget   budget
 	// arrivals and dispatches are moving averages of this instance's requests.
 	// lastArrival is when the last one arrived.
 	arrivals, dispatches demand
@@ -28,9 +32,11 @@
 	// sinceLowestRank counts the dispatches since a request of the lowest waiting
 	// rank was dispatched out of order.
 	sinceLowestRank int
-	paths           servicePaths
-	shares          shareHistory
-	brittle         brittleService
+	// lateTurn is set if the next such dispatch is of a late request.
+	lateTurn bool
+	paths    servicePaths
+	shares   shareHistory
+	brittle  brittleService
 }
 
 type latencyKey struct {
@@ -41,7 +47,7 @@
 func (s *State) pool(service string) *pool {
 	p := s.pools[service]
 	if p == nil {
-		p = &pool{service: service, latencyMeans: map[latencyKey]float64{}, lastArrival: never, paths: servicePaths{foundAt: never, heardAt: s.now}}
+		p = &pool{service: service, latencyMeans: map[latencyKey]float64{}, runs: map[string]runTimes{}, lastArrival: never, paths: servicePaths{foundAt: never, heardAt: s.now}}
 		s.pools[service] = p
 		s.poolOrder = append(s.poolOrder, p)
 	}
@@ -141,6 +147,7 @@
 		p.sinceLowestRank++
 		if r != p.waiting[0] {
 			p.sinceLowestRank = 0
+			p.lateTurn = !p.lateTurn
 		}
 		p.dequeue(r)
 		switch v, _ := s.judge(r); v {
@@ -157,14 +164,23 @@
 	}
 }
 
+// firstOfLowestRank returns the first request of the lowest waiting rank, in turn of those
+// that are in time and of those that are late.
 func (p *pool) firstOfLowestRank() *request {
-	last := p.waiting[len(p.waiting)-1].rank
-	for _, r := range p.waiting {
+	waiting := p.waiting
+	inTime := sort.Search(len(waiting), func(i int) bool { return waiting[i].late })
+	if p.lateTurn && inTime < len(waiting) {
+		waiting = waiting[inTime:]
+	} else if inTime > 0 {
+		waiting = waiting[:inTime]
+	}
+	last := waiting[len(waiting)-1].rank
+	for _, r := range waiting {
 		if r.rank == last {
 			return r
 		}
 	}
-	return p.waiting[0]
+	return waiting[0]
 }
 
 // firstPlaceable returns a queued request that some endpoint can take although
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamstair/balsamstair/internal/crash"
 	"github.com/balsamstair/balsamstair/internal/origin"
+	"github.com/balsamstair/balsamstair/internal/patience"
 )
 
 // request is the state of a request from its admission to its end.
@@ -14,6 +15,9 @@
 	arrived Instant
 	queued  Instant
 	rank    rank
+	// late is set while the request waits and can't meet its latency target any more, if
+	// requests wait until their deadline.
+	late bool
 	// tried holds the IDs of the endpoints to which the request was sent.
 	tried []string
 	// endpoint is where the request runs, or nil while it is queued.
@@ -58,8 +62,8 @@
 type rank struct{ organisation, route int }
 
 func (r *request) before(other *request) bool {
-	if r.rank != other.rank {
-		return r.rank.less(other.rank)
+	if k, l := r.orderKey(), other.orderKey(); k != l {
+		return k.Less(l)
 	}
 	if r.bound != other.bound {
 		// Few endpoints can go on with a stream, and its caller has paid for a part.
@@ -71,11 +75,8 @@
 	return r.ID < other.ID
 }
 
-func (r rank) less(other rank) bool {
-	if r.route != other.route {
-		return r.route < other.route
-	}
-	return r.organisation < other.organisation
+func (r *request) orderKey() patience.Key {
+	return patience.Key{Late: r.late, Route: r.rank.route, Organisation: r.rank.organisation}
 }
 
 func (r *request) hasTried(e *endpoint) bool { return slices.Contains(r.tried, e.ID) }
@@ -120,6 +121,7 @@
 	s.dispatchWaiting(p)
 	s.shedLimited(p)
 	s.refuseDuringBackoff(p)
+	s.reviewWaiting(p)
 }
 
 // admit returns the reason to refuse a new request, or an empty one, and the
@@ -285,6 +287,7 @@
 		}
 	}
 	out := []any{"waiting", len(p.waiting), "endpoints", len(p.endpoints), "usable", usable, "instances", 1 + len(s.members.byAddress)}
+	out = append(out, s.waitBasis(r, p)...)
 	if v, cause := s.judge(r); v != cleared {
 		out = append(out, s.crashBasis(cause)...)
 	}
@@ -309,6 +312,8 @@
 		retry = s.jitteredRetryAfter(r, s.backoffWait(s.pool(r.Service)))
 	case reason == LimitReached:
 		retry = s.limitedRetryAfter(r)
+	case s.cfg.WaitForDeadline:
+		retry = s.queueRetryAfter(r)
 	default:
 		retry = s.retryAfter(r)
 	}
@@ -404,47 +409,3 @@
 	}
 	return ""
 }
-
-// expireQueued refuses requests that have reached their queue deadline.
-func (s *State) expireQueued() {
-	for _, p := range s.poolOrder {
-		var expired []*request
-		rate, limited := 0.0, len(p.waiting) > 0 && s.allLimited(p)
-		if limited {
-			rate = s.limitedRate(p)
-		}
-		for _, r := range slices.Concat(p.waiting, p.held, p.looking) {
-			deadline := r.queueDeadline(maxQueueTime(r.Route.Target))
-			if limited {
-				deadline = r.queueDeadline(r.limitedWait(rate))
-			}
-			if s.now >= deadline {
-				expired = append(expired, r)
-			}
-		}
-		for _, r := range expired {
-			p.dequeue(r)
-			reason := QueueDelay
-			switch {
-			case s.now >= r.Deadline:
-				reason = DeadlinePassed
-			case limited:
-				reason = LimitReached
-			}
-			s.refuseHeld(r, reason)
-		}
-	}
-}
-
-// queueDeadline returns the time at which the request leaves the queue. A
-// request that may have run, or whose answer has started, can only wait for
-// another endpoint until its deadline.
-func (r *request) queueDeadline(maxWait time.Duration) Instant {
-	if r.mayHaveRun && r.bound {
-		return min(r.Deadline, r.queued.Add(r.callerPatience()))
-	}
-	if r.mayHaveRun {
-		return r.Deadline
-	}
-	return min(r.Deadline, r.arrived.Add(maxWait))
-}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -26,6 +26,9 @@
 	// EndpointHeartbeat is the interval at which endpoints renew their entries in
 	// the directory.
 	EndpointHeartbeat time.Duration
+	// WaitForDeadline lets requests wait for an endpoint while they can be served before
+	// their deadline. Otherwise they wait for half of their latency target.
+	WaitForDeadline bool
 }
 
 // Bounds are the operator's requirements for the deployment.
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -29,9 +29,10 @@
 	EndpointHeartbeatMS int64 `toml:"endpoint_heartbeat_ms"`
 	// Seeds are the gossip addresses of instances through which others are
 	// discovered.
-	Seeds  []string     `toml:"seeds"`
-	Bounds RoutedBounds `toml:"bounds"`
-	Limits RoutedLimits `toml:"limits"`
+	Seeds      []string         `toml:"seeds"`
+	Bounds     RoutedBounds     `toml:"bounds"`
+	Limits     RoutedLimits     `toml:"limits"`
+	Scheduling RoutedScheduling `toml:"scheduling"`
 }
 
 // EndpointHeartbeat returns EndpointHeartbeatMS as a duration.
@@ -80,6 +81,20 @@
 	return time.Duration(l.IdleTimeoutMS) * time.Millisecond
 }
 
+// The values of RoutedScheduling.Queue.
+const (
+	// QueueTarget refuses a request that has waited for half of its latency target.
+	QueueTarget = "target"
+	// QueueDeadline lets a request wait while it can be served before its deadline.
+	QueueDeadline = "deadline"
+)
+
+// RoutedScheduling holds the rules for requests that wait for an endpoint.
+type RoutedScheduling struct {
+	// Queue is QueueTarget or QueueDeadline.
+	Queue string `toml:"queue"`
+}
+
 // RoutedDefaults returns the values of settings that a file does not set.
 func RoutedDefaults() Routed {
 	return Routed{
@@ -87,6 +102,8 @@
 
 		Bounds: RoutedBounds{RetryRatio: 0.1, RetryExtra: 10, RetryWindowS: 10, GraceS: 30},
 		Limits: RoutedLimits{MemoryMB: 512, IdleTimeoutMS: 60_000},
+
+		Scheduling: RoutedScheduling{Queue: QueueTarget},
 	}
 }
 
@@ -158,6 +175,9 @@
 	if s.Limits.IdleTimeoutMS < 1 || s.Limits.IdleTimeoutMS > maxTimeMS {
 		report.Add(key("limits.idle_timeout_ms"), "%d is not between 1 and %d", s.Limits.IdleTimeoutMS, maxTimeMS)
 	}
+	if q := s.Scheduling.Queue; q != QueueTarget && q != QueueDeadline {
+		report.Add(key("scheduling.queue"), "%q is neither %q nor %q", q, QueueTarget, QueueDeadline)
+	}
 }
 
 // minMemoryMB is the smallest memory limit, in megabytes, with which the
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -35,11 +35,15 @@
 	must.Eq(t, 0.2, s.Bounds.RetryRatio)
 	must.Len(t, 2, s.Seeds)
 	must.Eq(t, time.Minute, s.Limits.IdleTimeout()) // default
+	must.Eq(t, QueueTarget, s.Scheduling.Queue)     // default
+	s, err = ParseRouted([]byte(validRouted + "[scheduling]\nqueue = \"deadline\"\n"))
+	must.NoError(t, err)
+	must.Eq(t, QueueDeadline, s.Scheduling.Queue)
 }
 
 // Each case changes validRouted and names the key to be reported: a missing key,
 // a host name and a malformed text in place of an address, a negative number, an
-// unknown key, and a memory limit below the minimum.
+// unknown key, a memory limit below the minimum, and an unknown order of the queue.
 func TestParseRoutedReportsKeyOfProblem(t *testing.T) {
 	for _, c := range []struct{ old, new, key string }{
 		{`instance = "i"`, ``, "instance"},
@@ -48,6 +52,7 @@
 		{`grace_s = 8`, `grace_s = -1`, "bounds.grace_s"},
 		{`retry_ratio = 0.2`, `retry_share = 0.2`, "bounds.retry_share"},
 		{`[bounds]`, "[limits]\nmemory_mb = 1\n[bounds]", "limits.memory_mb"},
+		{`[bounds]`, "[scheduling]\nqueue = \"Deadline\"\n[bounds]", "scheduling.queue"},
 	} {
 		_, err := ParseRouted([]byte(strings.Replace(validRouted, c.old, c.new, 1)))
 		parseError := new(strict.Error)
