Read the slowness that endpoints state in Balsamstair-Instance-Load

Answers with the fourth figure are passed to the scheduler, which keeps the figure with the endpoint and the time at which it was received. Answers without it cost no more than before. A malformed header is ignored and counted. platform and internal/gateway pass; of internal/scheduler only a selection of unit tests was run.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -71,6 +71,10 @@
 	LeavingMalformed    bool
 	RetryAfter          time.Duration
 	RetryAfterMalformed bool
+	// Load is what the endpoint says about its load; zero if it says nothing or
+	// LoadMalformed is set.
+	Load          scheduler.StatedLoad
+	LoadMalformed bool
 }
 
 // Dialect translates between HTTP headers and the types of this package.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -199,8 +199,11 @@
 	if info.RetryAfterMalformed {
 		x.h.cfg.Counters.Add(string(scheduler.CounterRests), "malformed", 1)
 	}
-	if info.Limit.Named || info.Brittle.Named || info.Leaving || d.Limited {
-		x.h.post(scheduler.AnswerReceived{ID: x.id, Limit: info.Limit, Brittle: info.Brittle, Leaving: info.Leaving,
+	if info.LoadMalformed {
+		x.h.cfg.Counters.Add(string(scheduler.CounterStatedLoads), "malformed", 1)
+	}
+	if info.Limit.Named || info.Brittle.Named || info.Leaving || info.Load.SlownessStated || d.Limited {
+		x.h.post(scheduler.AnswerReceived{ID: x.id, Limit: info.Limit, Brittle: info.Brittle, Leaving: info.Leaving, Load: info.Load,
 			LimitMalformed: info.LimitMalformed, BrittleMalformed: info.BrittleMalformed})
 	}
 }
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -113,6 +113,8 @@
 	// failureRate is the moving average of failed attempts.
 	failureRate float64
 	path        endpointPath
+	// stated is what the endpoint last said about its load, with its slowness.
+	stated statedLoad
 	// backoffUntil is when the backoff ends that the endpoint requested from this instance.
 	backoffUntil Instant
 	brittle      brittleEndpoint
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -117,6 +117,15 @@
 	Rejections int
 }
 
+// StatedLoad is what an answer says about the load of its endpoint.
+type StatedLoad struct {
+	Running, Waiting, Slots int
+	// SlownessStated is set if the answer says how long work takes at the endpoint at this
+	// moment, Slowness is that time relative to the usual one.
+	SlownessStated bool
+	Slowness       float64
+}
+
 // ProbeResult is the result of a ProbeEndpoint effect.
 type ProbeResult int
 
@@ -152,14 +161,16 @@
 	// that the request has not crashed its endpoint.
 	AnswerContinued struct{ ID RequestID }
 	// AnswerReceived reports the head of an endpoint's answer if it names a rate
-	// limit or says that the endpoint is brittle, or if the request was dispatched
-	// while either was in force.
+	// limit or a slowness or says that the endpoint is brittle, or if the request was
+	// dispatched while a limit or brittleness was in force.
 	AnswerReceived struct {
 		ID      RequestID
 		Limit   RateLimit
 		Brittle Brittleness
 		// Leaving is set if the answer says that the endpoint is about to leave.
 		Leaving bool
+		// Load is what the answer says about the endpoint's load.
+		Load StatedLoad
 		// LimitMalformed and BrittleMalformed are set if the answer has a statement that
 		// can't be read, which neither makes nor ends one.
 		LimitMalformed, BrittleMalformed bool
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -75,6 +75,7 @@
 	if ev.Leaving {
 		s.drainingStated(r.endpoint)
 	}
+	s.loadStated(r.endpoint, ev.Load)
 	if !ev.BrittleMalformed {
 		s.brittlenessStated(r, ev.Brittle)
 	}
