Send less work to endpoints that say that they are slowed

Endpoints that are slowed 2.5 times for 0.6 s got as much work as others. The stated slowness now multiplies the cost of an endpoint, with a weight that halves each 0.4 s; a figure that is impossible, or unchanged while six completed requests contradict it, is discarded.

With queue = "deadline" a late request is sent only to an endpoint with a free slot.

--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -213,8 +213,8 @@
 	// malformed, CounterRests the rests that they asked for.
 	CounterLeaving Counter = "routed_leaving_statements_total"
 	CounterRests   Counter = "routed_rests_total"
-	// CounterStatedLoads counts what endpoints said about their slowness, by stated
-	// or malformed.
+	// CounterStatedLoads counts what endpoints said about their slowness, by used,
+	// discarded or malformed.
 	CounterStatedLoads Counter = "routed_stated_loads_total"
 	// CounterPermits counts permits for endpoints with rate limits by what became
 	// of them. CounterLimited counts requests for which such an endpoint had no
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -352,5 +352,6 @@
 		return
 	}
 	mean := s.pool(e.Service).updateLatencyMean(r.Route.Name, a.EventInterval > 0, float64(sample))
+	e.slownessMeasured(float64(sample) / mean)
 	e.relativeLatency += latencyWeight * (float64(sample)/mean - e.relativeLatency)
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -135,6 +135,11 @@
 			r = p.firstOfLowestRank()
 		}
 		e := s.chooseEndpoint(p, r)
+		if e == nil && r.late && r != p.waiting[0] {
+			p.lateTurn = false
+			r = p.waiting[0]
+			e = s.chooseEndpoint(p, r)
+		}
 		if e == nil {
 			r, e = s.firstPlaceable(p)
 		}
@@ -251,7 +256,7 @@
 	if e.limited() {
 		counted *= limitedLoadWeight
 	}
-	cost := ((counted+1)/float64(e.slots) + float64(e.backlog())/fullBacklogTokens) * e.relativeLatency
+	cost := ((counted+1)/float64(e.slots) + float64(e.backlog())/fullBacklogTokens) * e.pace(s.now)
 	switch {
 	case e.Zone != s.cfg.Zone:
 		cost += crossZoneCost / float64(e.slots)
@@ -277,6 +282,10 @@
 	if r.bound {
 		return boundExtraRequests
 	}
+	if r.late {
+		// Requests that are in time may wait at other instances for the same endpoint.
+		return -endpointQueueDepth
+	}
 	return 0
 }
 
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -190,8 +190,8 @@
 	s.countPassedOver(r)
 	s.emit(Dispatch{
 		ID: r.ID, Endpoint: e.Endpoint, Attempt: len(r.tried), Waited: s.now.Sub(r.queued), Limited: e.limited() || s.pool(r.Service).brittle.Named, Software: r.sentTo,
-		LogFields: []any{"endpoint_load", e.load(), "endpoint_slots", e.slots, "endpoint_backlog_tokens", e.backlog(),
-			"waiting", len(s.pool(r.Service).waiting), "origin", r.originSource, "origin_wait_ms", r.originWait.Milliseconds()},
+		LogFields: append([]any{"endpoint_load", e.load(), "endpoint_slots", e.slots, "endpoint_backlog_tokens", e.backlog(),
+			"waiting", len(s.pool(r.Service).waiting), "origin", r.originSource, "origin_wait_ms", r.originWait.Milliseconds()}, s.estimateBasis(r, e)...),
 	})
 }
 
