--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -101,6 +101,7 @@
 		EndpointHeartbeat: cfg.EndpointHeartbeat(),
 		AdaptiveCrossing:  cfg.Zones.Crossing == settings.CrossingAdaptive,
 		CrossingCost:      cfg.Zones.CrossingCost(),
+		WaitForDeadline:   cfg.Scheduling.Queue == settings.QueueDeadline,
 		Bounds: scheduler.Bounds{
 			Revocation:  cfg.Bounds.Revocation(),
 			RetryRatio:  cfg.Bounds.RetryRatio,
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -116,6 +116,8 @@
 	// failureRate is the moving average of failed attempts.
 	failureRate float64
 	path        endpointPath
+	// stated is what the endpoint last said about its load, with its slowness.
+	stated statedLoad
 	// backoffUntil is when the backoff ends that the endpoint requested from this instance.
 	backoffUntil Instant
 	brittle      brittleEndpoint
@@ -330,6 +332,7 @@
 		e.failures = 0
 		e.growWindow(s.now)
 		s.recordLatency(e, r, a)
+		s.pool(e.Service).recordRun(r, a, s.now)
 	case Abandoned:
 		return
 	}
@@ -357,5 +360,6 @@
 		return
 	}
 	mean := s.pool(e.Service).updateLatencyMean(r.Route.Name, a.EventInterval > 0, float64(sample))
+	e.slownessMeasured(float64(sample) / mean)
 	e.relativeLatency += latencyWeight * (float64(sample)/mean - e.relativeLatency)
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -31,6 +31,9 @@
 	// CrossingCost as the least gain of one. Otherwise leaving has a constant cost.
 	AdaptiveCrossing bool
 	CrossingCost     time.Duration
+	// WaitForDeadline lets requests wait for an endpoint while they can be served before
+	// their deadline. Otherwise they wait for half of their latency target.
+	WaitForDeadline bool
 }
 
 // Bounds are the operator's requirements for the deployment.
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -30,10 +30,11 @@
 	EndpointHeartbeatMS int64 `toml:"endpoint_heartbeat_ms"`
 	// Seeds are the gossip addresses of instances through which others are
 	// discovered.
-	Seeds  []string     `toml:"seeds"`
-	Bounds RoutedBounds `toml:"bounds"`
-	Limits RoutedLimits `toml:"limits"`
-	Zones  RoutedZones  `toml:"zones"`
+	Seeds      []string         `toml:"seeds"`
+	Bounds     RoutedBounds     `toml:"bounds"`
+	Limits     RoutedLimits     `toml:"limits"`
+	Zones      RoutedZones      `toml:"zones"`
+	Scheduling RoutedScheduling `toml:"scheduling"`
 }
 
 // EndpointHeartbeat returns EndpointHeartbeatMS as a duration.
@@ -140,6 +141,20 @@
 // CrossingCost returns CrossingCostMS as a duration.
 func (z *RoutedZones) CrossingCost() time.Duration { return seconds(z.CrossingCostMS / 1000) }
 
+// The values of RoutedScheduling.Queue.
+const (
+	// QueueTarget refuses a request that has waited for half of its latency target.
+	QueueTarget = "target"
+	// QueueDeadline lets a request wait while it can be served before its deadline.
+	QueueDeadline = "deadline"
+)
+
+// RoutedScheduling holds the rules for requests that wait for an endpoint.
+type RoutedScheduling struct {
+	// Queue is QueueTarget or QueueDeadline.
+	Queue string `toml:"queue"`
+}
+
 // RoutedDefaults returns the values of settings that a file does not set.
 func RoutedDefaults() Routed {
 	return Routed{
@@ -151,6 +166,8 @@
 			BodyStallMS: 10_000, WriteStallMS: 10_000, HeadSlackBytes: 16 << 10,
 		},
 		Zones: RoutedZones{Crossing: CrossingFixed, CrossingCostMS: float64(crossing.DefaultCost) / float64(time.Millisecond)},
+
+		Scheduling: RoutedScheduling{Queue: QueueTarget},
 	}
 }
 
@@ -221,6 +238,9 @@
 	}
 	s.Limits.validate(report)
 	s.Zones.validate(report)
+	if q := s.Scheduling.Queue; q != QueueTarget && q != QueueDeadline {
+		report.Add(key("scheduling.queue"), "%q is neither %q nor %q", q, QueueTarget, QueueDeadline)
+	}
 }
 
 // validate checks the limits that have a range.
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -52,11 +52,16 @@
 	must.Eq(t, 28<<20, s.Limits.ClientMemoryBytes())
 	must.Eq(t, 10*time.Second, s.Limits.BodyStall())
 	must.Eq(t, 10*time.Second, s.Limits.WriteStall())
+	must.Eq(t, QueueTarget, s.Scheduling.Queue) // default
+	s, err = ParseRouted([]byte(validRouted + "[scheduling]\nqueue = \"deadline\"\n"))
+	must.NoError(t, err)
+	must.Eq(t, QueueDeadline, s.Scheduling.Queue)
 }
 
 // Each case changes validRouted and names the key to be reported: a missing key,
 // a host name and a malformed text in place of an address, a negative number, an
 // unknown key, and limits out of their ranges.
+// unknown key, a memory limit below the minimum, and an unknown order of the queue.
 func TestParseRoutedReportsKeyOfProblem(t *testing.T) {
 	for _, c := range []struct{ old, new, key string }{
 		{`instance = "i"`, ``, "instance"},
@@ -75,6 +80,7 @@
 		{`[bounds]`, "[zones]\ncrossing = \"never\"\n[bounds]", "zones.crossing"},
 		{`[bounds]`, "[zones]\ncrossing_cost_ms = -1.0\n[bounds]", "zones.crossing_cost_ms"},
 		{`[bounds]`, "[zones]\ncrossing_cost_ms = nan\n[bounds]", "zones.crossing_cost_ms"},
+		{`[bounds]`, "[scheduling]\nqueue = \"Deadline\"\n[bounds]", "scheduling.queue"},
 	} {
 		_, err := ParseRouted([]byte(strings.Replace(validRouted, c.old, c.new, 1)))
 		parseError := new(strict.Error)
