--- a/internal/scheduler/permit_issuer.go
+++ b/internal/scheduler/permit_issuer.go
@@ -89,19 +89,11 @@
 
 // permitsPerSecond returns the rate at which permits are issued.
 func (l *endpointLimit) permitsPerSecond() float64 {
-	if l.cold > 0 {
-		return max(min(l.cold, permitRateFractionOf(l.statement, l.cold)), minPermitsPerSecond)
-	}
-	return max(permitRateFraction*l.PerSecond, minPermitsPerSecond)
-}
-
-// permitRateFractionOf returns the part of a statement that is issued, or other if it
-// names no limit.
-func permitRateFractionOf(l statement, other float64) float64 {
-	if !l.Named {
-		return other
+	rate := permitRateFraction * l.PerSecond
+	if l.cold > 0 && (!l.Named || l.cold < rate) {
+		rate = l.cold
 	}
-	return permitRateFraction * l.PerSecond
+	return max(rate, minPermitsPerSecond)
 }
 
 // permitShare returns the fraction of a limit that the reachable instances may
