--- a/internal/scheduler/simulation_load_test.go
+++ b/internal/scheduler/simulation_load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -145,18 +146,32 @@
 			if name == "overload" && size.instances > 6 {
 				continue // Each instance decides for itself; the run is as long as the other.
 			}
-			before := contend(false, size.instances, size.engines, size.slots, phases...).outcomes
-			after := contend(true, size.instances, size.engines, size.slots, phases...).outcomes
-			t.Logf("%s, %d instances: urgent %+v, drafts %+v; with deadline: urgent %+v, drafts %+v",
-				name, size.instances, before[0], before[1], after[0], after[1])
-			must.Eq(t, before[0].arrived, after[0].arrived)
-			must.Greater(t, before[0].worth()+before[1].worth(), after[0].worth()+after[1].worth())
-			must.GreaterEq(t, before[0].worth()-0.02, after[0].worth())
-			must.GreaterEq(t, after[1].servedShare()-0.05, after[0].servedShare())
+			t.Run(fmt.Sprintf("%s_%d", name, size.instances), func(t *testing.T) {
+				t.Parallel()
+				var before, after [2]simOutcomes
+				concurrently(
+					func() { before = contend(false, size.instances, size.engines, size.slots, phases...).outcomes },
+					func() { after = contend(true, size.instances, size.engines, size.slots, phases...).outcomes },
+				)
+				t.Logf("urgent %+v, drafts %+v; with deadline: urgent %+v, drafts %+v", before[0], before[1], after[0], after[1])
+				must.Eq(t, before[0].arrived, after[0].arrived)
+				must.Greater(t, before[0].worth()+before[1].worth(), after[0].worth()+after[1].worth())
+				must.GreaterEq(t, before[0].worth()-0.02, after[0].worth())
+				must.GreaterEq(t, after[1].servedShare()-0.05, after[0].servedShare())
+			})
 		}
 	}
 }
 
+// concurrently runs independent simulations at the same time.
+func concurrently(runs ...func()) {
+	var group sync.WaitGroup
+	for _, run := range runs {
+		group.Go(run)
+	}
+	group.Wait()
+}
+
 // Load pattern: a sixth of the engines is slowed 2.5 times for 0.6 s in turns. Guards
 // against work for engines that say that they are slowed, and against harm by engines that
 // always state the same slowness.
@@ -172,7 +187,8 @@
 			f.runLoad(0.5*float64(size.engines*size.slots)/f.serviceTime.Seconds(), 1500*time.Millisecond)
 			return f.load.times / time.Duration(f.dispatches)
 		}
-		silent, stated, lying := mean(false, 0), mean(true, 0), mean(true, 3)
+		var silent, stated, lying time.Duration
+		concurrently(func() { silent = mean(false, 0) }, func() { stated = mean(true, 0) }, func() { lying = mean(true, 3) })
 		t.Logf("%d instances: mean time %v, with stated slowness %v, with a fixed one %v", size.instances, silent, stated, lying)
 		must.Less(t, silent, stated)
 		must.Less(t, silent*11/10, lying)
--- a/internal/scheduler/simulation_zone_test.go
+++ b/internal/scheduler/simulation_zone_test.go
@@ -154,9 +154,18 @@
 				if c.name[:5] == "waves" {
 					d = 17 * time.Second
 				}
+				names := []string{"fixed", "adaptive", "never", "shortest"}
+				results := make([]*simZones, len(names))
+				var runs []func()
+				for n, name := range names {
+					runs = append(runs, func() {
+						results[n] = runZones(policies[name], c, size.instances, size.zones, size.engines, size.slots, d)
+					})
+				}
+				concurrently(runs...)
 				got := map[string]*simZones{}
-				for _, name := range []string{"fixed", "adaptive", "never", "shortest"} {
-					z := runZones(policies[name], c, size.instances, size.zones, size.engines, size.slots, d)
+				for n, name := range names {
+					z := results[n]
 					got[name] = z
 					t.Logf("%-8s: in time %.3f, late %.3f, refused %.3f, left %.3f of %d", name, z.share(z.inTime), z.share(z.late), z.share(z.refusals), z.share(z.left), z.all)
 				}
