--- a/internal/gateway/intake_test.go
+++ b/internal/gateway/intake_test.go
@@ -190,12 +190,11 @@
 // slow one that is cut although it makes progress for longer than the limit.
 func TestBodyStall(t *testing.T) {
 	s := newTestGateway(t, 1, config(nil), replyWith(okAnswer, true))
-	// A busy machine delays the reader by hundreds of milliseconds.
-	s.handler.cfg.BodyStall = 2 * time.Second
+	s.handler.cfg.BodyStall = 300 * time.Millisecond
 	const pieces = 6
 	slow := s.startRequest(fmt.Sprintf("Content-Length: %d", pieces*bodyProgressBytes), "")
 	for range pieces {
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
 		_, err := io.WriteString(slow, strings.Repeat("x", bodyProgressBytes))
 		must.NoError(t, err)
 	}
--- a/internal/scheduler/evacuation_test.go
+++ b/internal/scheduler/evacuation_test.go
@@ -197,6 +197,24 @@
 	}
 }
 
+// Guards against an instance that has too few endpoints for a peak of its callers while a
+// zone is evacuated: each must have at least four.
+func TestEachInstanceHasFourEndpointsDuringAnEvacuation(t *testing.T) {
+	f := newSimulation(84, 4, 90, 6)
+	f.advance(4 * time.Second)
+	f.read(evacuateAt("0", 5))
+	f.advance(time.Second)
+	for _, i := range f.instances {
+		usable := 0
+		for _, e := range i.s.endpoints {
+			if !e.unassigned && e.Zone != "0" {
+				usable++
+			}
+		}
+		must.GreaterEq(t, 4, usable, must.Sprintf("instance %s of zone %s", i.address, i.zone))
+	}
+}
+
 func evacuateAt(zone string, revision int64) directory.Change {
 	return directory.Change{EvacuatedZone: zone, Revision: revision}
 }
