--- a/internal/clientcrowd/standin_test.go
+++ b/internal/clientcrowd/standin_test.go
@@ -54,7 +54,7 @@
 	}
 	entry := func(service string) map[string]any {
 		return map[string]any{"Service": service, "Address": endpoint, "Zone": "zone", "Slots": slots, "State": "ready",
-			"Version": "v1", "born": time.Now().UnixMilli()}
+			"Version": "v1", "Sequence": 1, "born": time.Now().UnixMilli()}
 	}
 	config := map[string]any{
 		"Version": 1,
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -165,6 +165,12 @@
 	if e != nil && entry.Started != 0 && e.Started != 0 && entry.Started < e.Started {
 		return
 	}
+	if e != nil && entry.Started == 0 && e.Started != 0 && e.Address == entry.Address {
+		// The entry of a process that states its start always does; another one is of
+		// another writer, and ends nothing that is known of the process.
+		s.log("endpoint_entry_ignored", "endpoint", entry.ID, "revision", revision, "reason", "no start time")
+		return
+	}
 	added := e == nil || e.Started != entry.Started || e.Address != entry.Address || e.Service != entry.Service
 	if added {
 		if e != nil {
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -133,3 +133,26 @@
 	i.advance(maxMissedReports*reportInterval + 2*TickInterval)
 	must.True(t, i.ready)
 }
+
+// Guards against an entry without a start time, of another writer, that makes a draining
+// process a new one.
+func TestEntryWithoutStartDoesNotReplaceProcess(t *testing.T) {
+	i := newServingInstance(t, 2, 4)
+	started := engine(0, 4)
+	entry := *started.Endpoint
+	entry.Started, entry.Leaving = 7, true
+	started.Endpoint = &entry
+	i.applyChanges(started)
+	foreign := entry
+	foreign.Started, foreign.Leaving = 0, false
+	i.applyChanges(directory.Change{EndpointID: entry.ID, Endpoint: &foreign})
+	must.Eq(t, int64(7), i.s.endpoints[entry.ID].Started)
+	must.True(t, i.s.endpoints[entry.ID].Leaving)
+	for range 8 {
+		i.arrive(route("r", 0), nil)
+		i.advance(100 * time.Millisecond)
+	}
+	for _, d := range i.dispatched {
+		must.NotEq(t, entry.ID, d.Endpoint.ID)
+	}
+}
