Answers of endpoints are believed only with a proof that they belong to the request

Cause: an answer was checked for the ID of another request, not for its own, so that bytes that name no request were taken for the answer to the next one on a kept connection. A status was read as a promise wherever it came from. A stream that broke off ended as complete if the next endpoint answered without an event, and an event without a number, such as the text of an error, was put into it. A handler that returned without an answer, since its waiting caller had ended its side of the connection, was completed as 200 by net/http. A caller's Connection header removed headers that had been set for the endpoint.

A refusal ends its connection, and after an answer that belongs to no request each connection to that address carries one request for 10 s. 421 moves an endpoint only with the ID of another one. An endpoint's own 408, 429 or 503 without the statement that the request has not run becomes 502 where it must not be repeated. Orders use a connection of their own; TestOnlyIdempotentCallsAreRetriedAfterConnectionLoss breaks that one off, where it broke off a kept one.

--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -124,6 +124,7 @@
 			ConnectTimeout:       endpointConnectTimeout,
 			IdleTimeout:          endpointIdleTimeout,
 			RequestIDHeader:      platform.RequestIDHeader,
+			EndToEnd:             platform.Dialect{}.EndToEnd,
 			AcceptCloseDelimited: true,
 			AckTimeout:           endpointSilenceTimeout,
 		}),
@@ -131,7 +132,9 @@
 			ConnectTimeout:  endpointConnectTimeout,
 			IdleTimeout:     endpointIdleTimeout,
 			RequestIDHeader: platform.RequestIDHeader,
+			EndToEnd:        platform.Dialect{}.EndToEnd,
 			AckTimeout:      endpointSilenceTimeout,
+			Peers:           true,
 		}),
 		Incarnation: incarnation,
 		Dialect:     platform.Dialect{},
@@ -303,6 +306,8 @@
 		IdleTimeout:       d.settings.Limits.IdleTimeout(),
 		MaxHeaderBytes:    callerHeaderBytes,
 		ErrorLog:          d.log.StandardDebug("http"),
+		// A success without an endpoint would be taken for the answer to a request.
+		DisableGeneralOptionsHandler: true,
 	}
 	go func() {
 		if err := server.Serve(d.clients.Listener(l, d.headBytes)); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -58,6 +58,11 @@
 	// AckTimeout, if set, closes a connection whose peer acknowledges
 	// nothing for that long, whether or not data is in flight.
 	AckTimeout time.Duration
+	// EndToEnd, if set, names the headers of answers that are kept although the
+	// Connection header lists them.
+	EndToEnd func(name string) bool
+	// Peers is set if the endpoints are other instances (attribution.Head.Peer).
+	Peers bool
 }
 
 func (c Config) withDefaults() Config {
@@ -89,6 +94,9 @@
 	// idle holds the idle connections by address, the oldest first.
 	idle      map[string][]*pooledConn
 	idleCount int
+	// singleUse holds the addresses whose connections carry one request each, with
+	// the time until which they do.
+	singleUse map[string]time.Time
 }
 
 // New returns a Client. It opens no connection. Bytes that an endpoint sends
@@ -101,6 +109,8 @@
 		config: config,
 		dialer: newDialer(config),
 		idle:   make(map[string][]*pooledConn),
+
+		singleUse: make(map[string]time.Time),
 	}
 }
 
@@ -123,6 +133,39 @@
 	}
 }
 
+// ConnectNew returns a new connection to address, on which no answer to an earlier request
+// can arrive. The error is the one of Connect.
+func (c *Client) ConnectNew(ctx context.Context, address string) (*Conn, error) {
+	return c.dial(ctx, address)
+}
+
+// singleUsePeriod is how long the connections to an address carry one request each after
+// an answer on one of them belonged to no request. A refusal on a new connection can be
+// believed even if it names no request.
+const singleUsePeriod = 10 * time.Second
+
+// retire closes the idle connections to an address and does not reuse others for
+// singleUsePeriod.
+func (c *Client) retire(address string) {
+	now := time.Now()
+	c.mu.Lock()
+	for a, until := range c.singleUse {
+		if now.After(until) {
+			delete(c.singleUse, a)
+		}
+	}
+	c.singleUse[address] = now.Add(singleUsePeriod)
+	idle := append([]*pooledConn(nil), c.idle[address]...)
+	for _, p := range idle {
+		c.removeLocked(p)
+	}
+	c.mu.Unlock()
+	for _, p := range idle {
+		p.expiry.Stop()
+		p.discard()
+	}
+}
+
 // Probe opens a new connection to address and keeps it for a later request. The
 // error is the one of Connect.
 func (c *Client) Probe(ctx context.Context, address string) error {
@@ -189,7 +232,7 @@
 	p.conn.reset()
 	c.mu.Lock()
 	full := c.closed || c.idleCount >= c.config.IdleTotal || len(c.idle[p.address]) >= c.config.IdlePerEndpoint
-	if full || p.conn.isDead() {
+	if full || p.conn.isDead() || p.carried && time.Now().Before(c.singleUse[p.address]) {
 		c.mu.Unlock()
 		p.discard()
 		return
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/attribution"
 	"github.com/cockroachdb/errors"
 )
 
@@ -22,6 +23,9 @@
 	// ErrRequestIDMismatch means that the answer carries the ID of another
 	// request. Its body cannot be read.
 	ErrRequestIDMismatch = errors.New("answer carries the ID of another request")
+	// ErrUnnamedAnswer means that the answer carries no ID, on a connection that has
+	// carried another request. It may be an answer to that one.
+	ErrUnnamedAnswer = errors.New("answer carries no ID on a connection that was used before")
 	// ErrIncomplete means that an answer ended early.
 	ErrIncomplete = errors.New("answer is incomplete")
 	// ErrCloseDelimited means that only the close of the connection marked the
@@ -103,6 +107,10 @@
 	Reused bool
 }
 
+// DiscardConn closes the connection without reading the body: that of a refusal, which a
+// faulty endpoint may send again on the same connection.
+func (a *Answer) DiscardConn() { _ = a.Body.Close() }
+
 // Conn is a connection on which one request can be sent.
 type Conn struct {
 	client *Client
@@ -133,11 +141,12 @@
 		c.client.putIdle(c.pooled)
 		return nil, &SendError{Err: err}
 	}
-	if c.reused && !c.pooled.conn.usable() {
+	if !c.pooled.conn.usable() {
 		c.pooled.discard()
 		return nil, &SendError{Err: ErrConnectionLost}
 	}
 	c.pooled.conn.setGuard(call.Guard)
+	c.pooled.carried = true
 	response, err := c.pooled.transport.RoundTrip(request)
 	if err != nil {
 		sent := c.pooled.abort()
@@ -146,38 +155,43 @@
 		}
 		return nil, &SendError{Sent: sent, Err: err}
 	}
-	if err := checkResponse(response, c.client.config.RequestIDHeader, call.ID); err != nil {
+	head := attribution.Head{
+		RequestID: call.ID, EchoedIDs: response.Header[c.client.config.RequestIDHeader],
+		Reused: c.reused, Peer: c.client.config.Peers,
+	}
+	if err := checkResponse(response, head); err != nil {
 		c.pooled.abort()
+		if !errors.Is(err, ErrProtocol) {
+			c.client.retire(c.pooled.address)
+		}
 		return nil, &SendError{Sent: true, Err: err}
 	}
-	return c.answer(response), nil
+	return c.answer(response, attribution.Reusable(head)), nil
 }
 
-func checkResponse(response *http.Response, idHeader, id string) error {
+func checkResponse(response *http.Response, head attribution.Head) error {
 	if response.StatusCode < http.StatusOK {
 		return ErrProtocol
 	}
-	for _, echoed := range response.Header[idHeader] {
-		if id != "" && echoed != id {
-			return ErrRequestIDMismatch
-		}
+	switch attribution.Attribute(head) {
+	case attribution.Foreign:
+		return ErrRequestIDMismatch
+	case attribution.Unnamed:
+		return ErrUnnamedAnswer
 	}
 	return nil
 }
 
-func (c *Conn) answer(response *http.Response) *Answer {
+func (c *Conn) answer(response *http.Response, reusable bool) *Answer {
 	c.pooled.keepAlive = keepAliveTimeout(response.Header)
-	stripHopByHop(response.Header)
+	StripHopByHop(response.Header, c.client.config.EndToEnd)
 	body := &answerBody{
 		client:         c.client,
 		pooled:         c.pooled,
 		body:           response.Body,
-		reusable:       !response.Close,
+		reusable:       reusable && !response.Close,
 		closeDelimited: isCloseDelimited(response) && !c.client.config.AcceptCloseDelimited,
 	}
-	if response.Body == http.NoBody {
-		body.complete()
-	}
 	return &Answer{
 		Status:         response.StatusCode,
 		Header:         response.Header,
@@ -227,6 +241,8 @@
 	conn      *trackedConn
 	transport *http.Transport
 	dialed    atomic.Bool
+	// carried is set once a request was sent on the connection.
+	carried bool
 	// expiry discards the connection once it was idle for too long; putIdle
 	// sets it.
 	expiry *time.Timer
--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -190,7 +190,8 @@
 	return events, nil
 }
 
-// SendOrder sends an order once. ErrStaleFencing means that the engine has
+// SendOrder sends an order once, on a new connection: its answer carries no ID, and that of
+// another call would be taken for a confirmation. ErrStaleFencing means that the engine has
 // accepted a newer order. After any other error the engine may have applied the
 // order.
 func (c *Client) SendOrder(ctx context.Context, address string, order Order) error {
@@ -204,7 +205,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encoding order")
 	}
-	conn, err := c.Connect(ctx, address)
+	conn, err := c.ConnectNew(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -243,7 +244,7 @@
 		return nil, err
 	}
 	answer, err := conn.Send(ctx, call)
-	if err == nil || !conn.reused || ctx.Err() != nil || errors.Is(err, ErrRequestIDMismatch) {
+	if err == nil || !conn.reused || ctx.Err() != nil {
 		return answer, err
 	}
 	if conn, err = c.dial(ctx, address); err != nil {
--- a/internal/endpoint/control_test.go
+++ b/internal/endpoint/control_test.go
@@ -74,7 +74,7 @@
 // is never sent again.
 func TestOnlyIdempotentCallsAreRetriedAfterConnectionLoss(t *testing.T) {
 	endpoint := newRawEndpoint(t, func(e exchange) bool {
-		if e.connRequestNumber == 2 {
+		if e.connRequestNumber == 2 || e.request.URL.Path == "/v1/orders" {
 			return false
 		}
 		e.write(jsonAnswer(200, "{}"))
--- a/internal/endpoint/header.go
+++ b/internal/endpoint/header.go
@@ -47,7 +47,7 @@
 		name = textproto.CanonicalMIMEHeaderKey(name)
 		header[name] = append(header[name], values...)
 	}
-	stripHopByHop(header)
+	StripHopByHop(header, nil)
 	for _, name := range notForwarded {
 		delete(header, name)
 	}
@@ -61,12 +61,16 @@
 	return header
 }
 
-// stripHopByHop removes the hop-by-hop headers and those that the Connection
-// header lists.
-func stripHopByHop(header http.Header) {
+// StripHopByHop removes the hop-by-hop headers and those that the Connection
+// header lists, but for those that endToEnd names: the sender of a message has no
+// say in whether they reach its receiver.
+func StripHopByHop(header http.Header, endToEnd func(name string) bool) {
 	for _, list := range header["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			delete(header, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+			name = textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))
+			if endToEnd == nil || !endToEnd(name) {
+				delete(header, name)
+			}
 		}
 	}
 	for _, name := range hopByHopHeaders {
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -53,9 +53,10 @@
 type AnswerInfo struct {
 	// NotRun is set if the endpoint did not run the request and never will.
 	NotRun bool
-	// Misdirected is set if the address belongs to another endpoint, which did
-	// not run the request.
+	// Misdirected is set if the endpoint did not run the request, since it is for
+	// another one. Instance is the endpoint that says so; empty if not stated.
 	Misdirected bool
+	Instance    string
 	// Limit is the endpoint's rate limit. LimitMalformed is set if the answer has
 	// one that can't be read; it then neither names nor lifts a limit.
 	Limit          scheduler.RateLimit
@@ -88,6 +89,9 @@
 	// received; zero if none.
 	InstanceHeader(caller http.Header, remaining time.Duration, lastEventID int64) http.Header
 	ParseAnswer(status int, header http.Header) AnswerInfo
+	// EndToEnd reports whether a header with a canonical name is part of the request or
+	// answer even if the Connection header lists it.
+	EndToEnd(name string) bool
 	// RunsPath is the path at which an endpoint says which attempts it is running.
 	// ParseRuns returns the IDs of those whose answers have begun from the body of its
 	// answer, and when its process has started in Unix milliseconds; zero if not stated.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -18,7 +18,8 @@
 
 var (
 	errEventTooLarge = errors.New("gateway: event exceeds the size limit")
-	errNoEvents      = errors.New("gateway: stream ended with its connection before the first event")
+	errNoEvents      = errors.New("gateway: stream ended without an event, which does not prove its end")
+	errUnnumbered    = errors.New("gateway: event without an id in a stream that was continued")
 	errEventOrder    = errors.New("gateway: event id does not follow the previous one")
 )
 
@@ -37,6 +38,8 @@
 	// connection. connFirstAt is when its first events were forwarded,
 	// lastForwardedAt when the last ones were.
 	eventCount int
+	// continues is set if the caller has received events of an earlier connection.
+	continues bool
 	// received is the number of all events received on the current connection.
 	received                     int
 	connFirstAt, lastForwardedAt time.Time
@@ -115,11 +118,15 @@
 	c.lastForwardedAt = now
 }
 
-// checkOrder checks and records the id of an event. Ids increase by one. An
-// event without an id is forwarded unchecked.
+// checkOrder checks and records the id of an event. Ids increase by one. An event
+// without an id is forwarded unchecked, unless it continues a stream whose events had
+// ids: it may be the text of an error.
 func (c *eventCopier) checkOrder(event []byte) error {
 	id, ok := eventID(event)
-	if !ok {
+	switch {
+	case !ok && c.continues && c.lastID != 0 && !isComment(event):
+		return errUnnumbered
+	case !ok:
 		return nil
 	}
 	if c.lastID != 0 && id != c.lastID+1 {
@@ -130,6 +137,17 @@
 	return nil
 }
 
+// isComment reports whether an event consists of comments, which some endpoints send to
+// keep a connection open.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, eventTerminator[:1]) {
+		if len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the value of an event's id field.
 func eventID(event []byte) (int64, bool) {
 	for line := range bytes.SplitSeq(event, eventTerminator[:1]) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/attribution"
 	"github.com/balsamstair/balsamstair/internal/bytebudget"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
 	"github.com/balsamstair/balsamstair/internal/origin"
@@ -59,6 +60,8 @@
 	// For the log.
 	attempts int
 	endpoint string
+	// sentTo holds the addresses of the endpoints to which the request was sent.
+	sentTo []string
 	// endpointVersion is the version of the endpoint's software, software identifies
 	// it.
 	endpointVersion string
@@ -105,10 +108,11 @@
 			}
 		case <-x.r.Context().Done():
 			// The scheduler undoes a Dispatch that it issues before it
-			// receives CallerGone.
+			// receives CallerGone. The caller may still read, and must not take
+			// an empty answer for a success.
 			x.h.post(scheduler.CallerGone{ID: x.id})
-			x.reason = "caller_gone"
-			return
+			x.reason = reasonCallerGone
+			x.abort()
 		}
 	}
 }
@@ -144,7 +148,7 @@
 // disconnected, while at an endpoint. A disconnected caller gets no answer.
 func (x *exchange) finishAbandoned() {
 	if x.r.Context().Err() != nil {
-		x.reason = "caller_gone"
+		x.reason = reasonCallerGone
 		x.abort()
 	}
 	x.reason = scheduler.DeadlinePassed
@@ -162,120 +166,12 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (x *exchange) send(d scheduler.Dispatch) scheduler.Attempt {
-	conn, err := x.h.cfg.Client.Connect(x.ctx, d.Endpoint.Address)
-	if err != nil {
-		if x.ctx.Err() != nil {
-			return scheduler.Attempt{Outcome: scheduler.Abandoned}
-		}
-		x.h.logAttemptFailure(x, "connect", err)
-		return scheduler.Attempt{Outcome: scheduler.NotSent, Refused: errors.Is(err, endpoint.ErrRefused)}
-	}
-	sent := time.Now()
-	answer, err := conn.Send(x.ctx, x.endpointCall(d))
-	if err != nil {
-		return x.sendFailure(err)
-	}
-	info := x.h.cfg.Dialect.ParseAnswer(answer.Status, answer.Header)
-	x.reportStatements(info, d)
-	a := scheduler.Attempt{}
-	switch {
-	case info.Misdirected:
-		a.Outcome = scheduler.Misdirected
-		x.discardBody(answer)
-	case info.NotRun:
-		a.Outcome = scheduler.NotRun
-		a.RetryAfter = info.RetryAfter
-		x.discardBody(answer)
-	case x.route.Kind == routing.Stream && answer.Status == http.StatusOK:
-		x.forwardStream(answer, sent, &a)
-	default:
-		x.bufferAnswer(answer, sent, &a)
-	}
-	return a
-}
-
-// reportStatements tells the scheduler what the head of an answer says about the
-// endpoint. An answer without a statement is only of interest while one is in force,
-// and one with a malformed statement neither makes nor ends one.
-func (x *exchange) reportStatements(info AnswerInfo, d scheduler.Dispatch) {
-	if info.Misdirected {
-		return
-	}
-	if info.LimitMalformed {
-		x.h.cfg.Counters.Add(string(scheduler.CounterLimitStatements), "malformed", 1)
-	}
-	if info.BrittleMalformed {
-		x.h.cfg.Counters.Add(string(scheduler.CounterBrittle), "malformed", 1)
-	}
-	if info.LeavingMalformed {
-		x.h.cfg.Counters.Add(string(scheduler.CounterLeaving), "malformed", 1)
-	}
-	if info.RetryAfterMalformed {
-		x.h.cfg.Counters.Add(string(scheduler.CounterRests), "malformed", 1)
-	}
-	if info.LoadMalformed {
-		x.h.cfg.Counters.Add(string(scheduler.CounterStatedLoads), "malformed", 1)
-	}
-	if info.Limit.Named || info.Brittle.Named || info.Leaving || info.Load.SlownessStated || d.Limited {
-		x.h.post(scheduler.AnswerReceived{ID: x.id, Limit: info.Limit, Brittle: info.Brittle, Leaving: info.Leaving, Load: info.Load,
-			LimitMalformed: info.LimitMalformed, BrittleMalformed: info.BrittleMalformed})
-	}
-}
-
-func (x *exchange) endpointCall(d scheduler.Dispatch) endpoint.Call {
-	info := ForwardInfo{Remaining: time.Until(x.deadline), Endpoint: d.Endpoint, LastEventID: x.events.lastID}
-	if x.org != nil {
-		info.Organisation = x.org.Name
-	}
-	return endpoint.Call{
-		Method: x.r.Method,
-		Path:   x.r.URL.RequestURI(),
-		Host:   x.r.Host,
-		Header: x.h.cfg.Dialect.EndpointHeader(x.r.Header, info),
-		Body:   x.body,
-		ID:     x.info.ID,
-	}
-}
-
-func (x *exchange) sendFailure(err error) scheduler.Attempt {
-	failure := new(endpoint.SendError)
-	sent := !errors.As(err, &failure) || failure.Sent
-	switch {
-	case x.ctx.Err() != nil:
-		return scheduler.Attempt{Outcome: scheduler.Abandoned}
-	case sent:
-		x.h.logAttemptFailure(x, "answer", err)
-		return scheduler.Attempt{Outcome: scheduler.Broken, AnswerStarted: x.answerStarted}
-	default:
-		x.h.logAttemptFailure(x, "send", err)
-		return scheduler.Attempt{Outcome: scheduler.NotSent}
-	}
-}
-
-const (
-	// maxDiscardedBytes and maxDiscardTime bound what is read of an answer whose body
-	// does not matter, so that its connection can be reused. The body of an endpoint
-	// in trouble may never end.
-	maxDiscardedBytes = 16 << 10
-	maxDiscardTime    = 100 * time.Millisecond
-)
-
-// discardBody reads a short answer to its end, or closes its connection.
-func (x *exchange) discardBody(answer *endpoint.Answer) {
-	timer := time.AfterFunc(maxDiscardTime, func() { answer.Body.Close() })
-	defer timer.Stop()
-	if _, _, err := readUpTo(answer.Body, maxDiscardedBytes); err != nil {
-		x.h.logAttemptFailure(x, "refusal", err)
-	}
-	answer.Body.Close()
-}
-
 // forwardStream forwards an event stream.
 func (x *exchange) forwardStream(answer *endpoint.Answer, sent time.Time, a *scheduler.Attempt) {
 	defer answer.Body.Close()
 	x.events.connFirstAt = time.Time{}
 	started, continued := false, false
+	x.events.continues = x.answerStarted
 	err := x.events.copy(answer.Body, func(events []byte) error {
 		if !started {
 			started = true
@@ -299,8 +195,14 @@
 	}
 	a.AnswerStarted = x.answerStarted
 	a.Inconclusive = answer.CloseDelimited
-	if err == nil && answer.CloseDelimited && x.events.received == 0 && x.events.lastID == 0 {
-		// An endpoint that ends before its first event closes the connection too.
+	end := attribution.StreamEnd{
+		Continued: x.events.continues, Events: x.events.received,
+		CloseDelimited: answer.CloseDelimited, FromStart: x.events.lastID == 0,
+	}
+	if end.Continued && x.events.lastID != 0 {
+		end.Events = x.events.eventCount
+	}
+	if err == nil && !end.ProvesEnd() {
 		err = errNoEvents
 	}
 	switch {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -60,7 +60,11 @@
 }
 
 func (testDialect) ParseAnswer(status int, h http.Header) AnswerInfo {
-	return AnswerInfo{NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	return AnswerInfo{NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Instance: h.Get("Instance")}
+}
+
+func (testDialect) EndToEnd(name string) bool {
+	return name == "Id" || name == "Key" || name == "Organisation" || name == "Remaining-Ms"
 }
 
 func (testDialect) RunsPath() string { return "/runs" }
@@ -117,7 +121,7 @@
 	}, now()), now)
 	s.handler = NewHandler(Config{
 		Client:      endpoint.New(endpoint.Config{RequestIDHeader: "Id", AcceptCloseDelimited: true, ConnectTimeout: time.Second}),
-		Instances:   endpoint.New(endpoint.Config{RequestIDHeader: "Id", ConnectTimeout: time.Second}),
+		Instances:   endpoint.New(endpoint.Config{RequestIDHeader: "Id", ConnectTimeout: time.Second, Peers: true}),
 		Incarnation: testIncarnation,
 		Dialect:     testDialect{}, Now: now, Post: s.loop.Post, Log: logline.Discard(),
 		Counters: s.counters, Budget: s.budget,
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -45,6 +45,7 @@
 	reasonBadBody         = "bad_body"
 	reasonBodiesLimit     = "bodies_limit"
 	reasonEvicted         = "client_evicted"
+	reasonCallerGone      = "caller_gone"
 )
 
 // Config configures a Handler.
@@ -171,6 +172,8 @@
 }
 
 func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
+	// The caller's Connection header must not apply to what is added to the request.
+	endpoint.StripHopByHop(r.Header, h.cfg.Dialect.EndToEnd)
 	x := &exchange{
 		h: h, w: w, r: r, started: time.Now(),
 		info:      h.cfg.Dialect.ParseRequest(r.Header),
@@ -191,9 +194,21 @@
 		return
 	}
 	x.schedule(table)
+	x.requireAnswer()
 	h.finish(x)
 }
 
+// requireAnswer closes the connection of a request for which nothing was written:
+// net/http would complete the answer with status 200.
+func (x *exchange) requireAnswer() {
+	if x.status != 0 || x.answerStarted {
+		return
+	}
+	x.h.cfg.Counters.Add(counterUnanswered, "", 1)
+	x.h.cfg.Log.Error("request_unanswered", "request", x.info.ID, "reason", string(x.reason))
+	x.abort()
+}
+
 // refuseLocally ends a request without a decision of the scheduler.
 func (x *exchange) refuseLocally(status int, reason string) {
 	x.reason = scheduler.Reason(reason)
