Scheduler: walks over members are shorter and rarer

Cause: of the state machine's time without requests most went into walks over all members with a look-up in a map for each: the share of quotas in each tick, the members of the own zone, their demand, the reports that are due, the keepers. Endpoints were walked for lapsed entries in each tick, receivers of announcements were listed without an announcement.

Members are kept in one slice in the order of their addresses. The share of quotas is computed anew when the first member would become unreachable, or after a change; shares of the demand are fields of the members, those of removed members are kept for their next processes. Endpoints are walked for lapsed entries only after one has lapsed. What is decided stays the same.

--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -44,10 +44,10 @@
 		return
 	}
 	s.nextAssignment = s.now.Add(assignmentInterval)
-	reachable := []candidate{newCandidate(s.cfg.Address, s.cfg.Zone)}
-	for _, a := range s.members.addresses() {
-		if x := s.members.byAddress[a]; s.members.reachable(x, s.now) {
-			reachable = append(reachable, newCandidate(a, x.zone))
+	reachable := append(make([]candidate, 0, 1+len(s.members.byAddress)), newCandidate(s.cfg.Address, s.cfg.Zone))
+	for _, x := range s.members.inOrder() {
+		if s.members.reachable(x, s.now) {
+			reachable = append(reachable, newCandidate(x.address, x.zone))
 		}
 	}
 	if !s.endpointsChanged && slices.Equal(reachable, s.reachableInstances) {
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -35,3 +35,18 @@
 		})
 	}
 }
+
+// BenchmarkIdleSecond measures what one second without requests costs one instance, by the
+// numbers of instances and of endpoints: ticks, and the reports of the others.
+func BenchmarkIdleSecond(b *testing.B) {
+	for _, n := range []struct{ instances, endpoints int }{{6, 18}, {30, 30}, {84, 84}, {195, 84}, {300, 140}} {
+		b.Run(fmt.Sprintf("instances=%d/endpoints=%d", n.instances, n.endpoints), func(b *testing.B) {
+			f := newSimulation(n.instances, 3, n.endpoints, 8)
+			f.advance(15 * time.Second)
+			for b.Loop() {
+				f.advance(time.Second)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/float64(n.instances), "us/instance-s")
+		})
+	}
+}
--- a/internal/scheduler/departure.go
+++ b/internal/scheduler/departure.go
@@ -43,8 +43,11 @@
 func (s *State) announceRead(departures, software int) {
 	departed := s.departures[min(departures, len(s.departures)):]
 	further := s.furtherSoftware[min(software, len(s.furtherSoftware)):]
+	if len(departed)+len(further) == 0 {
+		return
+	}
 	to := s.announcementReceivers()
-	if len(departed)+len(further) == 0 || len(to) == 0 {
+	if len(to) == 0 {
 		return
 	}
 	report := s.partialReport()
@@ -61,9 +64,9 @@
 		return s.members.addresses()
 	}
 	var out []string
-	for _, a := range s.members.addresses() {
-		if s.members.byAddress[a].zone == s.cfg.Zone {
-			out = append(out, a)
+	for _, x := range s.members.inOrder() {
+		if x.zone == s.cfg.Zone {
+			out = append(out, x.address)
 		}
 	}
 	return out
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -225,6 +225,7 @@
 	if s.platform.reconnectedAt != 0 && s.now.Sub(s.platform.reconnectedAt) < lapseGrace && !e.Leaving {
 		if e.lapsedAt == 0 {
 			e.lapsedAt = s.platform.reconnectedAt
+			s.endpointsLapsed = true
 			s.log("endpoint_lapsed", "endpoint", id, "revision", revision,
 				"from", s.reading.source, "read_age_ms", s.readAge().Milliseconds())
 		}
@@ -253,7 +254,12 @@
 // expireLapsedEndpoints removes the endpoints whose entry had lapsed during a
 // platform outage and that were not listed again within lapseGrace of its end.
 func (s *State) expireLapsedEndpoints() {
+	if !s.endpointsLapsed {
+		return
+	}
+	s.endpointsLapsed = false
 	for id, e := range s.endpoints {
+		s.endpointsLapsed = s.endpointsLapsed || e.lapsedAt != 0
 		if e.lapsedAt != 0 && s.now.Sub(e.lapsedAt) >= lapseGrace {
 			s.removeEndpoint(e)
 			s.log("endpoint_gone", "endpoint", id, "service", e.Service, "reason", "lapsed",
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -68,6 +68,10 @@
 	usageUnanswered, keeperAvoidUntil Instant
 	// loads lists the endpoints for which the member has reported a load.
 	loads []string
+	// demandShare is the member's share of the total demand as of the last time all
+	// known instances were reachable; hasDemandShare is set once it was known then.
+	demandShare    float64
+	hasDemandShare bool
 }
 
 // members is this instance's view of the other instances.
@@ -90,30 +94,36 @@
 	joinedAt     Instant
 	sampleOffset int
 	demand       demand
-	// demandShares holds each instance's share of the total demand, by address,
-	// as of the last time all known instances were reachable. Instances that are
-	// partitioned from each other thus divide a quota by the same figures.
-	demandShares map[string]float64
-	// sortedAddresses caches the result of addresses; it is nil after a change.
+	// ownDemandShare and hasOwnDemandShare are this instance's demandShare, as those
+	// of the members. Instances that are partitioned from each other thus divide a
+	// quota by the same figures.
+	ownDemandShare    float64
+	hasOwnDemandShare bool
+	// removedShares holds the demandShare of members that were removed since, by
+	// address. It applies to their next processes.
+	removedShares map[string]float64
+	// sorted and sortedAddresses cache the members in the order of their addresses;
+	// both are nil after a change.
+	sorted          []*member
 	sortedAddresses []string
-	// share caches the result of quotaShare, computed at shareAt. shareStale is
-	// set if its inputs have changed since.
-	share      float64
-	shareAt    Instant
-	shareStale bool
+	// share caches the result of quotaShare, computed at shareAt and valid until
+	// shareUntil. shareStale is set if its inputs have changed since.
+	share               float64
+	shareAt, shareUntil Instant
+	shareStale          bool
 }
 
 func newMembers(cfg Config, now Instant) members {
 	return members{
 		self: cfg.Address, zone: cfg.Zone, seeds: cfg.Seeds, started: now,
-		byAddress: map[string]*member{}, probedAt: map[string]Instant{},
+		byAddress: map[string]*member{}, probedAt: map[string]Instant{}, removedShares: map[string]float64{},
 	}
 }
 
 // membershipChanged invalidates cached values after an instance was added or
 // removed.
 func (m *members) membershipChanged() {
-	m.sortedAddresses = nil
+	m.sorted, m.sortedAddresses = nil, nil
 	m.shareStale = true
 }
 
@@ -152,12 +162,16 @@
 
 // countSameZone updates the number of other instances in the own zone.
 func (m *members) countSameZone() {
-	m.sameZone = 0
-	for _, x := range m.byAddress {
+	sameZone := 0
+	for _, x := range m.inOrder() {
 		if x.zone == m.zone {
-			m.sameZone++
+			sameZone++
 		}
 	}
+	if sameZone != m.sameZone {
+		// The time between reports, by which members count as reachable, has changed.
+		m.sameZone, m.shareStale = sameZone, true
+	}
 }
 
 // singleInstance reports whether the seeds name no other instance.
@@ -234,6 +248,36 @@
 	return m.sortedAddresses
 }
 
+// remove removes a member.
+func (m *members) remove(x *member) {
+	delete(m.byAddress, x.address)
+	if x.hasDemandShare {
+		m.removedShares[x.address] = x.demandShare
+	}
+	m.membershipChanged()
+}
+
+// add adds a member, in place of an earlier process at its address.
+func (m *members) add(x *member) {
+	if previous := m.byAddress[x.address]; previous != nil {
+		m.remove(previous)
+	}
+	x.demandShare, x.hasDemandShare = m.removedShares[x.address]
+	m.byAddress[x.address] = x
+	m.membershipChanged()
+}
+
+// inOrder returns the members in the order of their addresses. The result is shared and
+// must not be modified.
+func (m *members) inOrder() []*member {
+	if m.sorted == nil && len(m.byAddress) > 0 {
+		for _, a := range m.addresses() {
+			m.sorted = append(m.sorted, m.byAddress[a])
+		}
+	}
+	return m.sorted
+}
+
 func (s *State) peerReported(r Report) {
 	m := &s.members
 	if r.Incarnation == s.cfg.Incarnation || r.Address == m.self {
@@ -322,13 +366,12 @@
 		address: r.Address, zone: r.Zone, incarnation: r.Incarnation, firstContact: s.now, lastSent: s.now,
 		used: map[string]float64{}, startedLater: r.Age < s.now.Sub(s.started), established: r.Age > startupPeriod,
 	}
-	s.members.byAddress[r.Address] = x
+	s.members.add(x)
 	s.members.joinedAt = s.now
 	if len(s.members.byAddress) == largeSystemMembers+1 {
 		// From now on others read the platform for this instance.
 		s.nextAssignment = s.now
 	}
-	s.members.membershipChanged()
 	s.sendLimits([]string{r.Address}, s.limits)
 	s.sendDraining(r.Address)
 	s.sendCrashes([]string{r.Address}, firstN(s.crashes.Suspects(), maxNoticedCrashes))
@@ -342,8 +385,7 @@
 		return
 	}
 	s.clearLoads(x)
-	delete(s.members.byAddress, x.address)
-	s.members.membershipChanged()
+	s.members.remove(x)
 	s.nextAssignment = s.now
 	s.log("instance_left", "address", x.address, "incarnation", x.incarnation)
 }
@@ -368,15 +410,14 @@
 // without contact for memberRetention.
 func (s *State) expireMembers() {
 	m := &s.members
-	for a, x := range m.byAddress {
+	for _, x := range m.inOrder() {
 		if m.reachable(x, s.now) {
 			continue
 		}
 		s.clearLoads(x)
 		if s.now.Sub(x.lastContact) > memberRetention {
-			delete(m.byAddress, a)
-			m.membershipChanged()
-			s.log("instance_forgotten", "address", a)
+			m.remove(x)
+			s.log("instance_forgotten", "address", x.address)
 		}
 	}
 	for a, last := range m.probedAt {
--- a/internal/scheduler/quota_keeper.go
+++ b/internal/scheduler/quota_keeper.go
@@ -132,7 +132,7 @@
 
 // reviewKeepers replaces keepers that do not answer.
 func (s *State) reviewKeepers() {
-	for _, x := range s.members.byAddress {
+	for _, x := range s.members.inOrder() {
 		if x.usageUnanswered != 0 && s.now.Sub(x.usageUnanswered) > keeperTimeout {
 			x.usageUnanswered = 0
 			x.keeperAvoidUntil = s.now.Add(keeperPause)
--- a/internal/scheduler/quota_share.go
+++ b/internal/scheduler/quota_share.go
@@ -43,36 +43,43 @@
 
 // quotaShare returns the fraction of a quota that the reachable instances may
 // use together. Each partition receives a share according to its number of
-// instances and their previous demand. The result is cached for a tick, since
-// computing it iterates over all members.
+// instances and their previous demand. The result is cached, since computing it
+// iterates over all members: for a tick during startup, then until the first member
+// would become unreachable without another report.
 func (m *members) quotaShare(now Instant) float64 {
-	if m.shareStale || now.Sub(m.shareAt) >= TickInterval {
-		m.share = m.computeQuotaShare(now)
+	if m.shareStale || now >= m.shareUntil && now.Sub(m.shareAt) >= TickInterval {
+		m.share, m.shareUntil = m.computeQuotaShare(now)
 		m.shareAt, m.shareStale = now, false
 	}
 	return m.share
 }
 
-func (m *members) computeQuotaShare(now Instant) float64 {
+func (m *members) computeQuotaShare(now Instant) (share float64, until Instant) {
 	all := float64(m.quotaInstances(now))
-	reachable, demandFraction := 1.0, m.demandShare(m.self, all)
-	for _, a := range m.addresses() {
-		if m.reachableForQuota(m.byAddress[a], now) {
-			reachable++
-			demandFraction += m.demandShare(a, all)
+	reachable, demandFraction := 1.0, averageUnless(m.hasOwnDemandShare, m.ownDemandShare, all)
+	until = now.Add(memberRetention)
+	if m.startingUp(now) {
+		until = now
+	}
+	for _, x := range m.inOrder() {
+		if !m.reachableForQuota(x, now) {
+			continue
 		}
+		until = min(until, x.lastContact.Add(quotaMissedReports*m.reportIntervalTo(x)))
+		reachable++
+		demandFraction += averageUnless(x.hasDemandShare, x.demandShare, all)
 	}
 	if reachable == all {
-		return 1
+		return 1, until
 	}
-	return min(1, partitionBonus*(evenFraction*reachable/all+(1-evenFraction)*demandFraction))
+	return min(1, partitionBonus*(evenFraction*reachable/all+(1-evenFraction)*demandFraction)), until
 }
 
-// demandShare returns an instance's share of the total demand, or an average
+// averageUnless returns an instance's share of the total demand, or an average
 // share if the instance was absent when the shares were last computed.
-func (m *members) demandShare(address string, all float64) float64 {
-	if w, ok := m.demandShares[address]; ok {
-		return w
+func averageUnless(known bool, share, all float64) float64 {
+	if known {
+		return share
 	}
 	return 1 / all
 }
@@ -82,8 +89,7 @@
 func (m *members) updateDemandShares(now Instant) {
 	m.demand.update(now)
 	total := m.demand.perSecond
-	for _, a := range m.addresses() {
-		x := m.byAddress[a]
+	for _, x := range m.inOrder() {
 		if !m.reachableForQuota(x, now) {
 			return
 		}
@@ -95,9 +101,10 @@
 	if total <= 0 {
 		return
 	}
-	m.shareStale = true
-	m.demandShares = map[string]float64{m.self: m.demand.perSecond / total}
-	for a, x := range m.byAddress {
-		m.demandShares[a] = x.demand / total
+	// While all instances are reachable their share is one, whoever has the demand.
+	m.ownDemandShare, m.hasOwnDemandShare = m.demand.perSecond/total, true
+	clear(m.removedShares)
+	for _, x := range m.inOrder() {
+		x.demandShare, x.hasDemandShare = x.demand/total, true
 	}
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -25,11 +25,10 @@
 	m.countSameZone()
 	m.updateDemandShares(s.now)
 	var to []string
-	for _, a := range m.addresses() {
-		x := m.byAddress[a]
-		if m.reachable(x, s.now) && s.now.Sub(x.lastSent) >= m.reportIntervalTo(x) {
+	for _, x := range m.inOrder() {
+		if s.now.Sub(x.lastSent) >= m.reportIntervalTo(x) && m.reachable(x, s.now) {
 			x.lastSent = s.now
-			to = append(to, a)
+			to = append(to, x.address)
 		}
 	}
 	to = append(to, s.dueProbes()...)
@@ -42,20 +41,27 @@
 func (s *State) dueProbes() []string {
 	m := &s.members
 	var out []string
-	for _, a := range append(slices.Clone(m.seeds), m.addresses()...) {
-		if x := m.byAddress[a]; a == m.self || x != nil && m.reachable(x, s.now) {
-			continue
-		}
+	probe := func(a string) {
 		interval := probeInterval
 		if !m.contacted {
 			interval = reportInterval
 		}
 		if last, ok := m.probedAt[a]; ok && s.now.Sub(last) < interval {
-			continue
+			return
 		}
 		m.probedAt[a] = s.now
 		out = append(out, a)
 	}
+	for _, a := range m.seeds {
+		if x := m.byAddress[a]; a != m.self && (x == nil || !m.reachable(x, s.now)) {
+			probe(a)
+		}
+	}
+	for _, x := range m.inOrder() {
+		if !m.reachable(x, s.now) {
+			probe(x.address)
+		}
+	}
 	return out
 }
 
@@ -135,9 +141,9 @@
 func (s *State) memberSample() []string {
 	m := &s.members
 	var live []string
-	for _, a := range m.addresses() {
-		if m.reachable(m.byAddress[a], s.now) {
-			live = append(live, a)
+	for _, x := range m.inOrder() {
+		if m.reachable(x, s.now) {
+			live = append(live, x.address)
 		}
 	}
 	if len(live) <= maxReportedMembers {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -122,6 +122,8 @@
 	// endpoints has changed since.
 	reachableInstances []candidate
 	endpointsChanged   bool
+	// endpointsLapsed is set while the entry of an endpoint may have lapsed.
+	endpointsLapsed bool
 	// newEndpoints holds the endpoints first listed by the current read.
 	newEndpoints []*endpoint
 	// evacuations holds the evacuated zones. evacuationChangedNow is set if they have
