Settings: processors of an instance, and profiles on the operator interface

Cause: an instance with a share of one processor let the runtime use all of the machine's. Each datagram then wakes threads that find nothing to do. Where the time of an idle instance goes could not be seen.

limits.processors limits them; 0, the default, leaves the choice to the runtime as before. diagnostics.profiles, off by default, serves /debug/pprof/.

--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -86,6 +87,9 @@
 func schedulerNow() scheduler.Instant { return scheduler.Instant(boottime.Now()) }
 
 func newRoutedDaemon(settingsPath string, cfg settings.Routed, log *logline.Logger, sighups <-chan os.Signal) *routedDaemon {
+	if cfg.Limits.Processors > 0 {
+		runtime.GOMAXPROCS(int(cfg.Limits.Processors))
+	}
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.Limits.MemoryMB<<20)))
 	d := &routedDaemon{settingsPath: settingsPath, settings: cfg, log: log, sighups: sighups, replica: directory.NewReplica()}
 	d.readPlan.Store(new(directory.ReadPlan))
@@ -152,6 +156,7 @@
 	})
 	d.operator = operator.New(operator.Config{
 		Address: cfg.OperatorAddress, Counters: d.counters, Log: log.Named("operator"), Connections: d.clients,
+		Profiles: cfg.Diagnostics.Profiles,
 	})
 	d.store = platform.NewStore(cfg.PlatformAddress, storeTransport())
 	d.watcher = directory.NewWatcher(directory.WatcherConfig{
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,8 @@
 	Log  *logline.Logger
 	// Connections limits the listener's connections; nil means no limits.
 	Connections ConnectionLimiter
+	// Profiles serves the profiles of package runtime/pprof below /debug/pprof/.
+	Profiles bool
 }
 
 // ConnectionLimiter limits the connections of a listener.
@@ -89,6 +92,10 @@
 	s.mux.HandleFunc("GET /status", s.limitConcurrency(s.status))
 	s.mux.HandleFunc("GET /explain", s.limitConcurrency(s.explain))
 	s.mux.HandleFunc("GET /debug/vars", s.limitConcurrency(s.vars))
+	if cfg.Profiles {
+		s.mux.HandleFunc("GET /debug/pprof/", s.limitConcurrency(pprof.Index))
+		s.mux.HandleFunc("GET /debug/pprof/profile", s.limitConcurrency(pprof.Profile))
+	}
 	return s
 }
 
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -35,6 +35,8 @@
 	Limits     RoutedLimits     `toml:"limits"`
 	Zones      RoutedZones      `toml:"zones"`
 	Scheduling RoutedScheduling `toml:"scheduling"`
+
+	Diagnostics RoutedDiagnostics `toml:"diagnostics"`
 }
 
 // EndpointHeartbeat returns EndpointHeartbeatMS as a duration.
@@ -73,6 +75,10 @@
 type RoutedLimits struct {
 	// MemoryMB is the memory, in megabytes, at which the process is killed.
 	MemoryMB int64 `toml:"memory_mb"`
+	// Processors is the number of processors that the process uses at a time. Zero means
+	// all that it may use. On a machine with a share of one processor, more of them cost
+	// wake-ups and gain nothing.
+	Processors int64 `toml:"processors"`
 	// IdleTimeoutMS is how long a caller's connection may be idle, in
 	// milliseconds.
 	IdleTimeoutMS int64 `toml:"idle_timeout_ms"`
@@ -155,6 +161,12 @@
 	Queue string `toml:"queue"`
 }
 
+// RoutedDiagnostics holds the settings of the operator interface for developers.
+type RoutedDiagnostics struct {
+	// Profiles serves runtime profiles below /debug/pprof/.
+	Profiles bool `toml:"profiles"`
+}
+
 // RoutedDefaults returns the values of settings that a file does not set.
 func RoutedDefaults() Routed {
 	return Routed{
@@ -266,6 +278,7 @@
 	}{
 		{"file_descriptors", l.FileDescriptors, minFileDescriptors},
 		{"client_connections", l.ClientConnections, 1},
+		{"processors", l.Processors, 1},
 	} {
 		if q.value != 0 && q.value < q.low {
 			report.Add(key("limits."+q.key), "%d is not 0 and less than %d", q.value, q.low)
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -74,6 +74,8 @@
 		{`[bounds]`, "[limits]\nfile_descriptors = 10\n[bounds]", "limits.file_descriptors"},
 		{`[bounds]`, "[limits]\nclient_memory_percent = 51\n[bounds]", "limits.client_memory_percent"},
 		{`[bounds]`, "[limits]\nclient_connections = -1\n[bounds]", "limits.client_connections"},
+		{`[bounds]`, "[limits]\nprocessors = -1\n[bounds]", "limits.processors"},
+		{`[bounds]`, "[diagnostics]\nprofile = true\n[bounds]", "diagnostics.profile"},
 		{`[bounds]`, "[limits]\nbody_stall_ms = 99\n[bounds]", "limits.body_stall_ms"},
 		{`[bounds]`, "[limits]\nwrite_stall_ms = 0\n[bounds]", "limits.write_stall_ms"},
 		{`[bounds]`, "[limits]\nhead_slack_bytes = 10\n[bounds]", "limits.head_slack_bytes"},
