--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -18,7 +18,7 @@
 	// defaultBodyStall is the default of Config.BodyStall.
 	defaultBodyStall = 10 * time.Second
 	// bodyProgressBytes is how much of a body must arrive to count as progress. It
-	// is more than the size of most bodies, so that these need one deadline.
+	// is more than the size of most bodies.
 	bodyProgressBytes = 16 << 10
 	// firstBodyBytes is the size of the first buffer for a body. Shorter bodies get
 	// a buffer of their declared length.
@@ -114,10 +114,12 @@
 func (x *exchange) receiveBody(limit int64) (int, string) {
 	x.holder.SetState(bytebudget.Receiving, time.Now())
 	control := http.NewResponseController(x.w)
-	if err := control.SetReadDeadline(x.started.Add(x.h.cfg.BodyStall)); err != nil {
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		return http.StatusServiceUnavailable, reasonBadBody
 	}
-	err := x.readAll(control, limit)
+	watch := x.watchBody(control, x.h.cfg.BodyStall)
+	err := x.readAll(watch.progressed, limit)
+	watch.stop()
 	switch {
 	case err == nil:
 	case x.holder.Evicted():
@@ -147,8 +149,9 @@
 }
 
 // readAll reads the body into a buffer that grows as the body arrives, whatever
-// length the client has declared. Its memory is taken before it is allocated.
-func (x *exchange) readAll(control *http.ResponseController, limit int64) error {
+// length the client has declared. Its memory is taken before it is allocated. progressed is
+// called each time that enough has arrived to count as progress.
+func (x *exchange) readAll(progressed func(), limit int64) error {
 	// One byte over the limit is read to notice that a body without a declared
 	// length is too large.
 	size := limit + 1
@@ -173,11 +176,8 @@
 		}
 		if len(x.body)-marked >= bodyProgressBytes {
 			marked = len(x.body)
-			now := time.Now()
-			x.holder.Progress(now)
-			if err := control.SetReadDeadline(now.Add(x.h.cfg.BodyStall)); err != nil {
-				return err
-			}
+			x.holder.Progress(time.Now())
+			progressed()
 			if x.holder.Evicted() {
 				return net.ErrClosed
 			}
--- a/internal/gateway/intake_test.go
+++ b/internal/gateway/intake_test.go
@@ -231,7 +231,7 @@
 		x := &exchange{h: &Handler{cfg: Config{Budget: budget}}, r: r}
 		x.holder = budget.Add(netip.Addr{}, bodyOwner{}, time.Now())
 		x.ownHolder = true
-		err := x.readAll(http.NewResponseController(noDeadlines{httptest.NewRecorder()}), int64(limit))
+		err := x.readAll(func() {}, int64(limit))
 		if size > limit {
 			must.ErrorIs(t, err, errBodyTooLarge)
 		} else {
@@ -259,8 +259,3 @@
 	r.left = r.left[n:]
 	return n, nil
 }
-
-// noDeadlines accepts deadlines without effect.
-type noDeadlines struct{ http.ResponseWriter }
-
-func (noDeadlines) SetReadDeadline(time.Time) error { return nil }
