Unproven refusals of endpoints of earlier versions of an instance become 502 too

Cause: an instance of an earlier version passes on an endpoint's own 503 of a request that has run. TestUnprovenRefusalOfEarlierVersionIsNotPassedOn.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/attribution"
 	"github.com/balsamstair/balsamstair/internal/endpoint"
 	"github.com/balsamstair/balsamstair/internal/origin"
 	"github.com/balsamstair/balsamstair/internal/routing"
@@ -138,6 +139,9 @@
 	switch {
 	case ended.Reason != "":
 		x.discardBody(answer)
+	case !attribution.MayPassOn(answer.Status, x.route.Retryable()):
+		// Earlier versions pass on what their endpoint answered.
+		x.untrueRefusal(answer, &ended.Attempt)
 	case x.route.Kind == routing.Stream && answer.Status == http.StatusOK:
 		x.forwardStream(answer, sent, &ended.Attempt)
 	default:
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -45,7 +45,11 @@
 
 // addInstance lets a gateway know another one, which reports once a moment.
 func (s *testGateway) addInstance(peer *testGateway, incarnation uint64) (address string) {
-	instances := httptest.NewServer(http.HandlerFunc(peer.handler.ServeForwarded))
+	return s.addInstanceWith(peer.handler.ServeForwarded, incarnation)
+}
+
+func (s *testGateway) addInstanceWith(serve http.HandlerFunc, incarnation uint64) (address string) {
+	instances := httptest.NewServer(serve)
 	s.t.Cleanup(instances.Close)
 	address = strings.TrimPrefix(instances.URL, "http://")
 	ctx, cancel := context.WithCancel(context.Background())
@@ -118,6 +122,29 @@
 	must.SliceEmpty(t, s.requests())
 }
 
+// Guards against a refusal of an endpoint without a statement that an earlier version
+// passes on: the request has run there.
+func TestUnprovenRefusalOfEarlierVersionIsNotPassedOn(t *testing.T) {
+	s := newTestGateway(t, 0, nil, nil)
+	entry := s.entryAt(closedPort(t))
+	s.publish(entry, configChange(config(func(r *routing.Route) { r.Kind = routing.Unsafe })))
+	s.addInstanceWith(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set(headerEndpoint, entry.EndpointID)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}, testIncarnation)
+	eventually(t, func() bool { return s.handler.table.Load() != nil })
+	eventually(t, func() bool {
+		response, _, err := s.do(nil)
+		must.NoError(t, err)
+		forwarded := s.counters.Value(counterUnprovenRefusals, "503") > 0
+		if forwarded {
+			must.Eq(t, http.StatusBadGateway, response.StatusCode)
+		}
+		return forwarded
+	})
+}
+
 // Guards against an unsafe request that runs twice: once it was sent to another
 // instance, whose connection then breaks, it may have run.
 func TestUnsafeRequestIsForwardedOnce(t *testing.T) {
