Instances collect garbage less often

An instance has a few MB in use, so that the heap doubles, and is collected, several times a second under load.

GOGC is 200; the soft limit of the memory stays.

--- a/cmd/balsamd/routed.go
+++ b/cmd/balsamd/routed.go
@@ -56,6 +56,9 @@
 	// memoryLimitFraction is the fraction of the memory limit set as the Go
 	// runtime's soft limit.
 	memoryLimitFraction = 0.7
+	// gcPercent lets the heap grow to three times what is in use, which is a few MB:
+	// fewer collections. The soft limit still applies.
+	gcPercent = 200
 	// callerHeaderTimeout and callerHeaderBytes limit a request's header where
 	// the configuration has no limit, or a higher one.
 	callerHeaderTimeout = 10 * time.Second
@@ -90,6 +93,7 @@
 	if cfg.Limits.Processors > 0 {
 		runtime.GOMAXPROCS(int(cfg.Limits.Processors))
 	}
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.Limits.MemoryMB<<20)))
 	d := &routedDaemon{settingsPath: settingsPath, settings: cfg, log: log, sighups: sighups, replica: directory.NewReplica()}
 	d.readPlan.Store(new(directory.ReadPlan))
