--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,7 +42,7 @@
 		a.RetryAfter = info.RetryAfter
 		answer.DiscardConn()
 	case !attribution.MayPassOn(answer.Status, x.route.Retryable()):
-		x.untrueRefusal(answer, &a)
+		x.unprovenRefusal(answer, &a)
 	case x.route.Kind == routing.Stream && answer.Status == http.StatusOK:
 		x.forwardStream(answer, sent, &a)
 	default:
@@ -61,9 +61,9 @@
 	return x.h.cfg.Client.Connect(x.ctx, e.Address)
 }
 
-// untrueRefusal ends an attempt whose endpoint answered with a status that promises that
+// unprovenRefusal ends an attempt whose endpoint answered with a status that promises that
 // the request has not run, without stating so. The caller gets another status.
-func (x *exchange) untrueRefusal(answer *endpoint.Answer, a *scheduler.Attempt) {
+func (x *exchange) unprovenRefusal(answer *endpoint.Answer, a *scheduler.Attempt) {
 	x.h.cfg.Counters.Add(counterUnprovenRefusals, strconv.Itoa(answer.Status), 1)
 	x.h.logAttemptFailure(x, "refusal", errors.Newf("endpoint answered %d without stating that the request has not run", answer.Status))
 	answer.DiscardConn()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -141,7 +141,7 @@
 		x.discardBody(answer)
 	case !attribution.MayPassOn(answer.Status, x.route.Retryable()):
 		// Earlier versions pass on what their endpoint answered.
-		x.untrueRefusal(answer, &ended.Attempt)
+		x.unprovenRefusal(answer, &ended.Attempt)
 	case x.route.Kind == routing.Stream && answer.Status == http.StatusOK:
 		x.forwardStream(answer, sent, &ended.Attempt)
 	default:
--- a/internal/scheduler/quota_share.go
+++ b/internal/scheduler/quota_share.go
@@ -56,7 +56,7 @@
 
 func (m *members) computeQuotaShare(now Instant) (share float64, until Instant) {
 	all := float64(m.quotaInstances(now))
-	reachable, demandFraction := 1.0, averageUnless(m.hasOwnDemandShare, m.ownDemandShare, all)
+	reachable, demandFraction := 1.0, shareOrAverage(m.hasOwnDemandShare, m.ownDemandShare, all)
 	until = now.Add(memberRetention)
 	if m.startingUp(now) {
 		until = now
@@ -67,7 +67,7 @@
 		}
 		until = min(until, x.lastContact.Add(quotaMissedReports*m.reportIntervalTo(x)))
 		reachable++
-		demandFraction += averageUnless(x.hasDemandShare, x.demandShare, all)
+		demandFraction += shareOrAverage(x.hasDemandShare, x.demandShare, all)
 	}
 	if reachable == all {
 		return 1, until
@@ -75,9 +75,9 @@
 	return min(1, partitionBonus*(evenFraction*reachable/all+(1-evenFraction)*demandFraction)), until
 }
 
-// averageUnless returns an instance's share of the total demand, or an average
+// shareOrAverage returns an instance's share of the total demand, or an average
 // share if the instance was absent when the shares were last computed.
-func averageUnless(known bool, share, all float64) float64 {
+func shareOrAverage(known bool, share, all float64) float64 {
 	if known {
 		return share
 	}
