Forwarded requests are not decided by an older configuration

Callers: a request ran at a service that its route had left, although the instance that they reached had the newer version and had used it before.

Cause: an instance without paths to a service forwards its requests, and the receiving one resolves route and key by its own configuration, which may be older. The request named no version.

Change: the version goes with the request; an instance that is behind refuses it as not run, and the next one is asked. Requests of earlier releases name none and are taken.

Measured: TestInstanceWithOlderConfigurationRefusesForwardedRequests failed before (200 from the old service, expected 503) and passes now.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -29,7 +29,10 @@
 	route   *routing.Route
 	org     *routing.Organisation
 	version int64
-	body    []byte
+	// minVersion is the version of the configuration by which another instance has
+	// forwarded the request, or zero: an older one may no longer decide about it.
+	minVersion int64
+	body       []byte
 	// holder counts the memory that the request occupies, heldBytes is the part of
 	// it that is returned when the request ends. ownHolder is set if holder is not
 	// that of a connection.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -19,6 +19,9 @@
 	// headerForwardTo holds the incarnation of the instance to which a request is
 	// forwarded. Only instances know it, from each other's reports.
 	headerForwardTo = "Instance-Forward-To"
+	// headerVersion holds the version of the configuration by which the instance that
+	// forwards a request has chosen its route.
+	headerVersion = "Instance-Config-Version"
 	// headerSoftware identifies the software that began a stream, in requests, or that
 	// of the endpoint, in answers. headerTried lists endpoints tried before.
 	headerSoftware = "Instance-Software"
@@ -34,7 +37,7 @@
 )
 
 var instanceHeaders = []string{
-	headerForwardTo, headerSoftware, headerTried, headerEndpoint, headerEndpointVersion, headerRefused, headerNotRun,
+	headerForwardTo, headerVersion, headerSoftware, headerTried, headerEndpoint, headerEndpointVersion, headerRefused, headerNotRun,
 }
 
 func deleteInstanceHeaders(h http.Header) {
@@ -70,6 +73,10 @@
 		x.refuseLocally(http.StatusServiceUnavailable, string(scheduler.PeerBusy))
 		return
 	}
+	// Instances of earlier releases state no version.
+	if version, err := strconv.ParseInt(r.Header.Get(headerVersion), 10, 64); err == nil {
+		x.minVersion = version
+	}
 	if software, err := strconv.ParseUint(r.Header.Get(headerSoftware), 16, 64); err == nil {
 		x.forwarding.Software = origin.Software(software)
 	}
@@ -156,6 +163,7 @@
 	header := x.h.cfg.Dialect.InstanceHeader(x.r.Header, time.Until(x.deadline), x.events.lastID)
 	deleteInstanceHeaders(header)
 	header.Set(headerForwardTo, strconv.FormatUint(d.Incarnation, 16))
+	header.Set(headerVersion, strconv.FormatInt(x.version, 10))
 	if d.Forwarding.Software != origin.Unknown {
 		header.Set(headerSoftware, strconv.FormatUint(uint64(d.Forwarding.Software), 16))
 	}
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -278,3 +278,32 @@
 	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
 	must.SliceEmpty(t, peer.requests())
 }
+
+// Guards against a request that is decided by an older configuration than that of the
+// instance which its caller reached: it would run at a service that its route has left.
+func TestInstanceWithOlderConfigurationRefusesForwardedRequests(t *testing.T) {
+	old := config(func(r *routing.Route) { r.Target = time.Second })
+	cut, peer := newCutGateway(t, old, replyWith(okAnswer, true))
+	newer := config(func(r *routing.Route) {
+		r.Target, r.Split = time.Second, []routing.Share{{Service: "moved", Weight: 1}}
+	})
+	newer.Version = 2
+	elsewhere := endpointEntry(7, closedPort(t))
+	elsewhere.Endpoint.Service = "moved"
+	cut.publish(elsewhere, configChange(newer))
+	eventually(t, func() bool { return cut.handler.table.Load().Version() == 2 })
+	response, _, err := cut.do(nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	must.SliceEmpty(t, peer.requests())
+
+	moved := peer.startEndpoint(7, replyWith(okAnswer, true))
+	moved.Endpoint.Service = "moved"
+	peer.publish(moved, configChange(newer))
+	eventually(t, func() bool { return peer.handler.table.Load().Version() == 2 })
+	response, _, err = cut.do(nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Len(t, 1, peer.requests())
+	must.Eq(t, 7, peer.requests()[0].endpoint)
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -46,6 +46,9 @@
 	reasonBodiesLimit     = "bodies_limit"
 	reasonEvicted         = "client_evicted"
 	reasonCallerGone      = "caller_gone"
+	// reasonConfigBehind refuses a request that an instance with a newer configuration
+	// forwards.
+	reasonConfigBehind = "config_behind"
 )
 
 // Config configures a Handler.
@@ -241,6 +244,9 @@
 	}
 	outdated := x.h.cfg.Now().Sub(scheduler.Instant(x.h.configConfirmedAt.Load())) > maxConfigAgeForDenial
 	x.version = table.Version()
+	if x.version < x.minVersion {
+		return http.StatusServiceUnavailable, reasonConfigBehind
+	}
 	if limit := table.Limits().HeaderBytes; limit > 0 && headerBytes(x.r.Header) > limit {
 		return http.StatusRequestHeaderFieldsTooLarge, reasonHeadersTooLarge
 	}
