An unknown route is denied by one configuration and its own age

Callers: 404 or 401 for a route or key that the configuration in force has, at an instance that had been cut off for 2.5 s or more, in the moment in which it gets the newer one.

Cause: the table was loaded before the time of its confirmation. A configuration that is adopted and confirmed in between makes the old table look confirmed.

Change: the time is loaded first; the table is then at least as new.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -187,8 +187,10 @@
 }
 
 func (h *Handler) serve(x *exchange) {
+	// Loaded in this order, the table is at least as new as its confirmation.
+	confirmedAt := scheduler.Instant(h.configConfirmedAt.Load())
 	table := h.table.Load()
-	if status, reason := x.resolve(table); status != 0 {
+	if status, reason := x.resolve(table, confirmedAt); status != 0 {
 		x.refuseLocally(status, reason)
 		return
 	}
@@ -237,12 +239,12 @@
 
 // resolve finds the route and the organisation, or the status and reason of a
 // refusal. If the configuration may be outdated, an unknown route or key is
-// not denied.
-func (x *exchange) resolve(table *routing.Table) (int, string) {
+// not denied. confirmedAt is when the table was last known to be the newest.
+func (x *exchange) resolve(table *routing.Table, confirmedAt scheduler.Instant) (int, string) {
 	if table == nil {
 		return http.StatusServiceUnavailable, string(scheduler.ConfigUnknown)
 	}
-	outdated := x.h.cfg.Now().Sub(scheduler.Instant(x.h.configConfirmedAt.Load())) > maxConfigAgeForDenial
+	outdated := x.h.cfg.Now().Sub(confirmedAt) > maxConfigAgeForDenial
 	x.version = table.Version()
 	if x.version < x.minVersion {
 		return http.StatusServiceUnavailable, reasonConfigBehind
