A request whose body is slow ends at its time

Callers: a request was held without an answer until its body made no progress for body_stall_ms, however short its route's timeout; a body that arrived slowly but steadily held it for as long as it liked.

Cause: the deadline was set once the body was complete.

Change: it is set before the body is read and ends the reading. The answer is 408, not run, and the connection closes.

Measured: TestSlowBodyEndsAtTheTimeOfItsRequest had no answer within 10 s before, in all three cases; 408 at the time of the route or the caller now.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -43,6 +43,7 @@
 	reasonBodyTooLarge    = "too_large"
 	reasonHeadersTooLarge = "head_too_large"
 	reasonBadBody         = "bad_body"
+	reasonBodyLate        = "body_late"
 	reasonBodiesLimit     = "bodies_limit"
 	reasonEvicted         = "client_evicted"
 	reasonCallerGone      = "caller_gone"
@@ -194,6 +195,7 @@
 		x.refuseLocally(status, reason)
 		return
 	}
+	x.setDeadline()
 	if status, reason := x.readBody(table.Limits()); status != 0 {
 		x.refuseLocally(status, reason)
 		return
@@ -271,6 +273,26 @@
 	return http.StatusUnauthorized, reasonUnknownKey
 }
 
+// timeouts returns the time that the caller waits, and the shorter one of that and the
+// route's timeout.
+func (x *exchange) timeouts() (caller, remaining time.Duration) {
+	caller = x.info.Timeout
+	if caller <= 0 {
+		caller = x.route.Timeout
+	}
+	remaining = caller
+	if x.route.Timeout > 0 {
+		remaining = min(remaining, x.route.Timeout)
+	}
+	return caller, remaining
+}
+
+// setDeadline sets the time at which the request ends.
+func (x *exchange) setDeadline() {
+	_, remaining := x.timeouts()
+	x.deadline = x.started.Add(remaining)
+}
+
 // headerBytes returns the size of the header fields on the wire.
 func headerBytes(h http.Header) int {
 	const separators = len(": \r\n")
@@ -288,15 +310,7 @@
 	h := x.h
 	x.id = scheduler.RequestID(h.nextID.Add(1))
 	x.fingerprint = x.computeFingerprint()
-	callerTimeout := x.info.Timeout
-	if callerTimeout <= 0 {
-		callerTimeout = x.route.Timeout
-	}
-	remaining := callerTimeout
-	if x.route.Timeout > 0 {
-		remaining = min(remaining, x.route.Timeout)
-	}
-	x.deadline = x.started.Add(remaining)
+	callerTimeout, remaining := x.timeouts()
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -118,7 +118,9 @@
 		return http.StatusServiceUnavailable, reasonBadBody
 	}
 	watch := x.watchBody(control, x.h.cfg.BodyStall)
+	deadline := time.AfterFunc(time.Until(x.deadline), watch.endRead)
 	err := x.readAll(watch.progressed, limit)
+	deadline.Stop()
 	watch.stop()
 	switch {
 	case err == nil:
@@ -129,6 +131,9 @@
 		return http.StatusServiceUnavailable, reasonBodiesLimit
 	case errors.Is(err, errBodyTooLarge):
 		return http.StatusRequestEntityTooLarge, reasonBodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(x.deadline):
+		x.limitReached("body_late")
+		return http.StatusRequestTimeout, reasonBodyLate
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.limitReached("body_stalled")
 		return http.StatusBadRequest, reasonBadBody
@@ -223,7 +228,8 @@
 	}
 	// An error means that the connection is closed or does not support deadlines.
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(clientconn.DrainTimeout))
-	if x.r.ContentLength < 0 || x.r.ContentLength > maxRefusedBodyBytes || x.holder.Evicted() {
+	late := x.reason == reasonBodyLate
+	if x.r.ContentLength < 0 || x.r.ContentLength > maxRefusedBodyBytes || x.holder.Evicted() || late {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/gateway/intake_test.go
+++ b/internal/gateway/intake_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/balsamstair/balsamstair/internal/bytebudget"
 	"github.com/balsamstair/balsamstair/internal/clientconn"
+	"github.com/balsamstair/balsamstair/internal/routing"
 	"github.com/shoenig/test/must"
 )
 
@@ -259,3 +260,36 @@
 	r.left = r.left[n:]
 	return n, nil
 }
+
+// Guards against a request that is held beyond its time since its body is slow: the time
+// ends the reading, and the caller learns that the request has not run.
+func TestSlowBodyEndsAtTheTimeOfItsRequest(t *testing.T) {
+	route := config(func(r *routing.Route) { r.Kind, r.Timeout = routing.Unsafe, 300*time.Millisecond })
+	for name, framing := range map[string]string{
+		"route":   "Content-Length: 60000",
+		"caller":  "Timeout-Ms: 200\r\nContent-Length: 60000",
+		"chunked": "Transfer-Encoding: chunked",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestGateway(t, 1, route, replyWith(okAnswer, true))
+			conn := s.startRequest(framing, "")
+			stop := make(chan struct{})
+			defer close(stop)
+			go func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(20 * time.Millisecond):
+					}
+					// The write fails once the connection is closed.
+					_, _ = io.WriteString(conn, chunk(strings.Repeat("x", 100)))
+				}
+			}()
+			status, closes := readAnswer(t, conn)
+			must.Eq(t, http.StatusRequestTimeout, status)
+			must.True(t, closes)
+			must.SliceEmpty(t, s.requests())
+		})
+	}
+}
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -61,6 +61,18 @@
 	w.end()
 }
 
+// endRead ends the read at once.
+func (w *stallWatch) endRead() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	w.stopped = true
+	w.timer.Stop()
+	w.end()
+}
+
 func (w *stallWatch) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
