A stopping instance refuses what can't end before it does, and answers what it breaks off

Callers: a request that reached an instance late in a planned stop was sent to an endpoint and broken off without an answer at the end of the grace time; a caller of an unsafe request could not know whether it had run. Processes without work stayed until the end of the grace time, some until they were killed there.

Cause: requests began without a look at the time that was left, and the process ended with its requests. net/http waits 5 s for a connection on which nothing was sent, and the interface of the operator 2 s more, so that the process was there longer than it may be.

Change: package shutdown decides by the end of a request's own time and the longest recent run of its route whether it may begin; all others get 503, not run, to return in 50 ms. What is broken off all the same gets 502, an incomplete body 503. Unused connections are closed 1 s after they were opened.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -85,6 +85,20 @@
 	}
 }
 
+// CloseUnused closes the connections on which nothing was received for age since they
+// were opened. Their callers can send the request elsewhere.
+func (c *Connections) CloseUnused(age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, w := range c.tracked {
+		if w.state == http.StateNew && time.Since(w.since) > age {
+			delete(c.tracked, conn)
+			// Close fails only if the connection is already closed.
+			_ = conn.Close()
+		}
+	}
+}
+
 func (c *Connections) closeExpired(now time.Time) {
 	table := c.handler.table.Load()
 	if table == nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -147,18 +147,22 @@
 	return true
 }
 
-// finishAbandoned ends a request that reached its deadline, or whose caller
-// disconnected, while at an endpoint. A disconnected caller gets no answer.
+// finishAbandoned ends a request that reached its deadline, whose caller disconnected, or
+// whose instance stops, while at an endpoint. A disconnected caller gets no answer.
 func (x *exchange) finishAbandoned() {
 	if x.r.Context().Err() != nil {
 		x.reason = reasonCallerGone
 		x.abort()
 	}
 	x.reason = scheduler.DeadlinePassed
+	status := http.StatusGatewayTimeout
+	if x.h.ended.Err() != nil && time.Now().Before(x.deadline) {
+		x.reason, status = scheduler.InstanceStopping, http.StatusBadGateway
+	}
 	if x.answerStarted {
 		x.abort()
 	}
-	x.writeFailure(http.StatusGatewayTimeout, 0)
+	x.writeFailure(status, 0)
 }
 
 // abort closes the caller's connection, since the partly written answer cannot
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -92,6 +92,10 @@
 
 	mu       sync.Mutex
 	inFlight map[scheduler.RequestID]*exchange
+
+	// ended is done once running requests are broken off.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // NewHandler returns a Handler that refuses all requests until a configuration
@@ -105,6 +109,7 @@
 		inFlight:   map[scheduler.RequestID]*exchange{},
 		logLimiter: rate.NewLimiter(requestLogsPerSecond, requestLogBurst),
 	}
+	h.ended, h.end = context.WithCancel(context.Background())
 	h.latency = operator.NewHistogram()
 	h.firstByte = operator.NewHistogram()
 	h.queueDelay = operator.NewHistogram()
@@ -117,6 +122,10 @@
 // Drain makes the handler close the connection after every answer.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
+// EndRequests breaks off all requests, since the process is about to end. Their callers get
+// an answer unless one has begun.
+func (h *Handler) EndRequests() { h.end() }
+
 // InFlight returns the number of requests in progress.
 func (h *Handler) InFlight() int {
 	h.mu.Lock()
@@ -313,6 +322,7 @@
 	callerTimeout, remaining := x.timeouts()
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(h.ended, cancel)()
 	x.ctx = ctx
 	x.events.lastID = x.info.LastEventID
 	h.mu.Lock()
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/balsamstair/balsamstair/internal/bytebudget"
 	"github.com/balsamstair/balsamstair/internal/clientconn"
 	"github.com/balsamstair/balsamstair/internal/routing"
+	"github.com/balsamstair/balsamstair/internal/scheduler"
 	"github.com/cockroachdb/errors"
 )
 
@@ -119,8 +121,10 @@
 	}
 	watch := x.watchBody(control, x.h.cfg.BodyStall)
 	deadline := time.AfterFunc(time.Until(x.deadline), watch.endRead)
+	keepReading := context.AfterFunc(x.h.ended, watch.endRead)
 	err := x.readAll(watch.progressed, limit)
 	deadline.Stop()
+	keepReading()
 	watch.stop()
 	switch {
 	case err == nil:
@@ -131,6 +135,8 @@
 		return http.StatusServiceUnavailable, reasonBodiesLimit
 	case errors.Is(err, errBodyTooLarge):
 		return http.StatusRequestEntityTooLarge, reasonBodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded) && x.h.ended.Err() != nil:
+		return http.StatusServiceUnavailable, string(scheduler.InstanceStopping)
 	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(x.deadline):
 		x.limitReached("body_late")
 		return http.StatusRequestTimeout, reasonBodyLate
@@ -228,8 +234,8 @@
 	}
 	// An error means that the connection is closed or does not support deadlines.
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(clientconn.DrainTimeout))
-	late := x.reason == reasonBodyLate
-	if x.r.ContentLength < 0 || x.r.ContentLength > maxRefusedBodyBytes || x.holder.Evicted() || late {
+	slow := x.reason == reasonBodyLate || x.reason == scheduler.InstanceStopping
+	if x.r.ContentLength < 0 || x.r.ContentLength > maxRefusedBodyBytes || x.holder.Evicted() || slow {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/gateway/resilience_test.go
+++ b/internal/gateway/resilience_test.go
@@ -230,3 +230,52 @@
 	must.Eq(t, answered, len(s.requests()))
 	must.Zero(t, s.handler.InFlight())
 }
+
+// Guards against requests that a process takes with it without an answer as it ends.
+func TestRequestsThatAreBrokenOffGetAnAnswer(t *testing.T) {
+	hold := func(head string) rawReply {
+		return func(conn net.Conn, _ int, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, head)
+			_, _ = conn.Read(make([]byte, 1))
+			return false
+		}
+	}
+	for name, c := range map[string]struct {
+		reply  rawReply
+		kind   routing.Kind
+		body   string
+		status int
+	}{
+		"unsafe":       {hold(""), routing.Unsafe, "x", http.StatusBadGateway},
+		"safe":         {hold(""), routing.Safe, "x", http.StatusBadGateway},
+		"half a body":  {hold(""), routing.Unsafe, "", http.StatusServiceUnavailable},
+		"begun stream": {hold(streamHead + chunk(event(1))), routing.Stream, "x", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestGateway(t, 1, config(func(r *routing.Route) { r.Kind = c.kind }), c.reply)
+			conn := s.startRequest("Content-Length: 1", c.body)
+			if c.body != "" {
+				eventually(t, func() bool { return len(s.requests()) == 1 })
+			} else {
+				eventually(t, func() bool { return s.inUse() > 0 })
+			}
+			response := bufio.NewReader(conn)
+			if c.status == 0 {
+				_, err := response.Peek(1)
+				must.NoError(t, err)
+			}
+			s.handler.EndRequests()
+			must.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+			answer, err := http.ReadResponse(response, nil)
+			must.NoError(t, err)
+			_, err = io.Copy(io.Discard, answer.Body)
+			if c.status == 0 {
+				must.Error(t, err)
+				return
+			}
+			must.NoError(t, err)
+			must.Eq(t, c.status, answer.StatusCode)
+			eventually(t, func() bool { return s.handler.InFlight() == 0 })
+		})
+	}
+}
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -155,6 +155,9 @@
 	// StreamVersionGone means that no endpoint runs the software that began the
 	// stream.
 	StreamVersionGone Reason = "stream_version_gone"
+	// InstanceStopping means that this instance is shutting down and that the request
+	// can't be expected to end before it does.
+	InstanceStopping Reason = "instance_stopping"
 	// PeerBusy means that another instance can't take the request of a caller of this
 	// one.
 	PeerBusy Reason = "peer_busy"
@@ -171,7 +174,7 @@
 // Reasons returns the complete list of reasons.
 func Reasons() []Reason {
 	return []Reason{ConfigUnknown, ConfigStale, QuotaExceeded, NoEndpoint, QueueDelay, ExpectedDelay, QueueFull, EndpointsFull,
-		LimitReached, EndpointsResting, CrashSuspect, StreamOriginUnknown, StreamVersionGone, PeerBusy, AttemptsUsed, RetryBudgetUsed, NotRepeatable, DeadlinePassed}
+		LimitReached, EndpointsResting, CrashSuspect, StreamOriginUnknown, StreamVersionGone, InstanceStopping, PeerBusy, AttemptsUsed, RetryBudgetUsed, NotRepeatable, DeadlinePassed}
 }
 
 // Counter is the name of a counter.
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -233,8 +233,9 @@
 	PeerReported struct{ Report Report }
 	// SeedsChanged replaces the seed addresses.
 	SeedsChanged struct{ Seeds []string }
-	// StopRequested reports that the process is shutting down.
-	StopRequested struct{}
+	// StopRequested reports that the process is shutting down. At EndsAt it breaks off
+	// what still runs; zero means that it waits for all.
+	StopRequested struct{ EndsAt Instant }
 	// Tick reports that TickInterval has passed.
 	Tick struct{}
 )
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -139,6 +139,8 @@
 		return CrashSuspect, 0
 	case !s.hasAvailableEndpoint(p):
 		return NoEndpoint, s.retryAfter(r)
+	case !s.endsInTime(r):
+		return InstanceStopping, stopRetryAfter
 	}
 	if r.Forwarding != nil {
 		return s.admitForwarded(r, p), 0
@@ -300,6 +302,8 @@
 	case r.mayHaveRun:
 	case reason == CrashSuspect || reason == StreamOriginUnknown || reason == StreamVersionGone:
 		// What the refusal is based on outlasts the caller's deadline.
+	case reason == InstanceStopping:
+		retry = stopRetryAfter
 	case reason == EndpointsResting:
 		retry = s.jitteredRetryAfter(r, s.backoffWait(s.pool(r.Service)))
 	case reason == LimitReached:
@@ -387,6 +391,8 @@
 		return DeadlinePassed
 	case r.bound && !s.softwareServes(p, r):
 		return StreamVersionGone
+	case !s.endsInTime(r):
+		return InstanceStopping
 	case a.Outcome == NotSent:
 		return ""
 	case len(r.tried) >= max(r.Route.MaxAttempts, 1):
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -174,7 +174,9 @@
 	// forwarded is the number of requests of other instances in progress here.
 	forwarded int
 	leaving   bool
-	ready     bool
+	// endsAt is when a stopping instance breaks off what still runs, or zero.
+	endsAt Instant
+	ready  bool
 }
 
 // New returns the state of a process that starts now, without configuration or
@@ -247,14 +249,7 @@
 	case HistoryRead:
 		s.applyHistory(ev)
 	case StopRequested:
-		s.leaving = true
-		s.assignPermitOwners()
-		for _, p := range s.poolOrder {
-			s.assignBrittleOwners(p)
-		}
-		s.sendCrashNotice()
-		s.sendLimitNotice()
-		s.sendReports(s.members.addresses())
+		s.stopRequested(ev.EndsAt)
 	case Tick:
 		s.tick()
 	}
@@ -276,6 +271,7 @@
 	s.readHistory()
 	s.readRuns()
 	s.expireQueued()
+	s.refuseUnfinishable()
 	s.expireLapsedEndpoints()
 	s.releaseHeldEntries()
 	s.expireReportedVersion()
--- a/internal/scheduler/waiting.go
+++ b/internal/scheduler/waiting.go
@@ -7,6 +7,7 @@
 
 	"github.com/balsamstair/balsamstair/internal/patience"
 	"github.com/balsamstair/balsamstair/internal/routing"
+	"github.com/balsamstair/balsamstair/internal/shutdown"
 )
 
 // maxWaiting limits the requests that wait at an instance until their deadline. Besides
@@ -17,7 +18,11 @@
 
 // runTimes are moving averages of a route's completed requests: from the dispatch to the
 // first output, or to the end of a plain answer, and to the end.
-type runTimes struct{ first, whole float64 }
+type runTimes struct {
+	first, whole float64
+	// longest is the longest recent one.
+	longest time.Duration
+}
 
 // recordRun adds a completed request to the averages of its route. The answer of a stream
 // that was taken up is only a part of one.
@@ -28,10 +33,11 @@
 	first, whole := float64(a.FirstByte), float64(max(now.Sub(r.dispatched), a.FirstByte))
 	t, known := p.runs[r.Route.Name]
 	if !known {
-		t = runTimes{first, whole}
+		t = runTimes{first: first, whole: whole}
 	}
 	t.first += latencyWeight * (first - t.first)
 	t.whole += latencyWeight * (whole - t.whole)
+	t.longest = shutdown.UpdateLongest(t.longest, time.Duration(whole))
 	p.runs[r.Route.Name] = t
 	if p.slotTime == 0 {
 		p.slotTime = whole
