--- a/internal/directory/propagation_test.go
+++ b/internal/directory/propagation_test.go
@@ -301,17 +301,65 @@
 	return c
 }
 
+// linkBytesPerSecond is a link of 10 Mbit/s, applyBound the bound on the time until a
+// configuration is in force.
+const (
+	linkBytesPerSecond = 1250 << 10
+	applyBound         = 3 * time.Second
+)
+
+// Guards against a large configuration that arrives late at instances with slow links, since
+// those that they receive it from are lost in the middle of it.
+func TestLargeConfigurationArrivesWhileRelaysAreLost(t *testing.T) {
+	const size = 23
+	config := largeConfig()
+	for name, lost := range map[string]int{"no relay": 0, "one relay": 1, "both relays": 2} {
+		t.Run(name, func(t *testing.T) {
+			worst := time.Duration(0)
+			for _, after := range []time.Duration{0, 300, 700, 1100, 1500, 1900} {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					f := newFleet(ctx, size)
+					f.mu.Lock()
+					for _, i := range f.instances {
+						i.bytesPerSecond = linkBytesPerSecond
+					}
+					f.mu.Unlock()
+					time.Sleep(10 * time.Second)
+					f.publish(Change{Config: config})
+					published := time.Now()
+					time.Sleep(after * time.Millisecond)
+					f.mu.Lock()
+					for _, i := range f.instances[:lost] {
+						i.frozen = true
+					}
+					f.mu.Unlock()
+					time.Sleep(8 * time.Second)
+					missed := 0
+					f.mu.Lock()
+					for _, i := range f.instances[lost:] {
+						if i.configured.IsZero() {
+							missed++
+						}
+						worst = max(worst, i.configured.Sub(published))
+					}
+					f.mu.Unlock()
+					cancel()
+					time.Sleep(3 * time.Second)
+					must.Eq(t, 0, missed)
+				})
+				t.Logf("lost after %v ms: worst so far %v", int(after), worst)
+			}
+			must.LessEq(t, applyBound, worst)
+		})
+	}
+}
+
 // Guards against a removal that arrives late since it waits behind a large
 // configuration, which relays with slow links send to their readers, and against a
 // transfer that is slow but sound, given up and begun again elsewhere.
 func TestChangeIsNotDelayedByLargeConfiguration(t *testing.T) {
 	const size = 20
-	// linkBytesPerSecond is a link of 10 Mbit/s, applyBound the bound on the time until a
-	// configuration is in force.
-	const (
-		linkBytesPerSecond = 1250 << 10
-		applyBound         = 3 * time.Second
-	)
 	config := largeConfig()
 	for name, slow := range map[string]func(n int) bool{
 		"all links slow": func(int) bool { return true },
