A fresh instance compares its first configuration with what it has heard before

Callers: a withdrawn key was accepted for up to 3.75 s by an instance that had started while the platform served a copy, if it had heard of the newer version before its first read; the order of a report and a read of some milliseconds each decided.

Cause: a reported version was compared with the configuration only when it was new, and there was none yet; later reports of the same version were not looked at.

Change: the comparison is also made as the first configuration is adopted.

Measured: TestNewerVersionHeardBeforeTheFirstReadRefusesKeys failed before (the request was sent to an endpoint) and passes now.

--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -104,6 +104,23 @@
 	must.True(t, i.ready)
 }
 
+// Guards against an instance that starts with an older configuration and accepts withdrawn
+// keys since it heard of the newer one before its first read.
+func TestNewerVersionHeardBeforeTheFirstReadRefusesKeys(t *testing.T) {
+	i := newInstance(t, testConfig())
+	p := &peer{i: i}
+	p.report(func(r *Report) { r.Version = 10 })
+	org := routing.Organisation{Name: "org", Keys: []string{"k"}}
+	i.applySnapshot(append(engines(1, 4), directory.Change{Config: &routing.Config{Version: 8, Organisations: []routing.Organisation{org}}})...)
+	keyed := func(q *Request) { q.Organisation, q.Key = &i.s.table.Organisations()[0], "k" }
+	must.Eq(t, ConfigStale, i.refusal(i.arrive(route("r", 0), keyed)).Reason)
+	must.False(t, i.ready)
+	p.report(func(r *Report) { r.Version = 10 })
+	must.Eq(t, ConfigStale, i.refusal(i.arrive(route("r", 0), keyed)).Reason)
+	i.configure(routing.Config{Version: 10, Organisations: []routing.Organisation{org}})
+	must.True(t, i.running(i.arrive(route("r", 0), keyed)))
+}
+
 // An instance that is up to date and hears of a newer version is not stopped by
 // that: the change reaches it a moment later.
 func TestNewerVersionElsewhereIsAwaited(t *testing.T) {
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -210,16 +210,15 @@
 	if s.table != nil && c.Version <= s.table.Version() {
 		return
 	}
-	previous := int64(0)
-	if s.table != nil {
-		previous = s.table.Version()
-	}
-	if s.table == nil {
+	previous, first := int64(0), s.table == nil
+	if first {
 		s.tableAt = s.now
+	} else {
+		previous = s.table.Version()
 	}
 	s.table = routing.NewTable(*c)
 	s.recordRoutes(c)
-	s.startedBehind = s.startedBehind && s.behind()
+	s.startedBehind = (s.startedBehind || first) && s.behind()
 	s.applyQuotas()
 	for _, e := range s.endpoints {
 		e.updateSlots(s.table)
