A fresh instance refuses keys until it has heard which configuration others have

Cause: the answer of the platform is taken for current, and the word of the other instances comes some milliseconds later.

Change: until another instance has reported the version that it has, at most for a second, keyed requests are refused as with a configuration that is not confirmed, and the instance is not ready. Instances whose seeds name no other one don't wait.

--- a/internal/scheduler/history.go
+++ b/internal/scheduler/history.go
@@ -98,6 +98,7 @@
 // instance.
 func (s *State) versionReported(x *member, version int64) {
 	x.version = version
+	s.versionHeard = s.versionHeard || version > 0
 	if version <= s.reportedVersion {
 		return
 	}
@@ -127,11 +128,20 @@
 // behind reports whether another instance has a newer configuration.
 func (s *State) behind() bool { return s.table != nil && s.table.Version() < s.reportedVersion }
 
+// awaitsVersions reports whether this instance has just started and has heard from no other
+// one yet which configuration is in force there.
+func (s *State) awaitsVersions() bool {
+	return !s.versionHeard && !s.members.singleInstance() && s.now.Sub(s.tableAt) <= startDetection
+}
+
 // configOvertaken reports whether the configuration may lack the withdrawal of a
 // key although the platform has confirmed it: the platform came back from a copy,
-// and another instance knows a newer version. An instance that has just started
+// and another instance knows a newer version, or could. An instance that has just started
 // does not know for how long.
 func (s *State) configOvertaken() bool {
+	if s.awaitsVersions() {
+		return true
+	}
 	if !s.behind() {
 		return false
 	}
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -121,6 +121,42 @@
 	must.True(t, i.running(i.arrive(route("r", 0), keyed)))
 }
 
+// Guards against an instance that accepts withdrawn keys in the first moments after its
+// start, before it has heard from another instance which configuration is in force: the
+// platform may have come back from a copy. One that hears from nobody serves after a while.
+func TestKeysAreRefusedUntilAnotherInstanceIsHeard(t *testing.T) {
+	for name, c := range map[string]struct {
+		reports func(p *peer)
+		serves  bool
+	}{
+		"nobody reports":                {func(*peer) {}, false},
+		"one without a configuration":   {func(p *peer) { p.report(nil) }, false},
+		"one with a newer version":      {func(p *peer) { p.report(func(r *Report) { r.Version = 10 }) }, false},
+		"one with the same version":     {func(p *peer) { p.report(func(r *Report) { r.Version = 8 }) }, true},
+		"one with an older version yet": {func(p *peer) { p.report(func(r *Report) { r.Version = 6 }) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Seeds = []string{selfAddr, "10.0.0.2:1"}
+			i := newInstance(t, cfg)
+			p := &peer{i: i}
+			org := routing.Organisation{Name: "org", Keys: []string{"k"}}
+			i.applySnapshot(append(engines(1, 4), directory.Change{Config: &routing.Config{Version: 8, Organisations: []routing.Organisation{org}}})...)
+			keyed := func(q *Request) { q.Organisation, q.Key = &i.s.table.Organisations()[0], "k" }
+			must.Eq(t, ConfigStale, i.refusal(i.arrive(route("r", 0), keyed)).Reason)
+			must.True(t, i.running(i.arrive(route("public", 0), nil)))
+			c.reports(p)
+			must.Eq(t, c.serves, i.running(i.arrive(route("r", 0), keyed)))
+			must.Eq(t, c.serves, i.ready)
+			if name == "nobody reports" {
+				i.advance(startDetection + TickInterval)
+				must.True(t, i.running(i.arrive(route("r", 0), keyed)))
+				must.True(t, i.ready)
+			}
+		})
+	}
+}
+
 // An instance that is up to date and hears of a newer version is not stopped by
 // that: the change reaches it a moment later.
 func TestNewerVersionElsewhereIsAwaited(t *testing.T) {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -151,11 +151,13 @@
 	held map[string]heldEntry
 	// tableAt is when the first configuration was adopted. reportedVersion is the
 	// newest version at another instance, first reported at reportedVersionAt.
-	// startedBehind is set if it was newer than this instance's first one.
+	// startedBehind is set if it was newer than this instance's first one, versionHeard
+	// once another instance has reported one.
 	tableAt           Instant
 	reportedVersion   int64
 	reportedVersionAt Instant
 	startedBehind     bool
+	versionHeard      bool
 	// asksSent and grantsSent number the asks and grants of this instance.
 	asksSent, grantsSent uint64
 	// knownDraining holds the processes that are draining by their answers or the reports
