Events without an end count as memory of their request

Callers: endpoints that send a stream without the end of an event fill the memory of an instance; it is killed, and the requests of all its callers end with it.

Change: a buffer over 8 KiB is taken from the memory that clients may occupy, as that of an answer is. Without any left the attempt breaks off, and the request is sent to another endpoint if it may be.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -38,6 +38,25 @@
 // part of what a connection counts.
 const freeAnswerBytes = 4 << 10
 
+// freeEventBytes is the size up to which the buffer for the events of a stream is not
+// counted. It is that of its first buffer.
+const freeEventBytes = readBytes
+
+// resizeEvents counts the buffer for events as memory of the request. It returns false if
+// there is none left.
+func (x *exchange) resizeEvents(from, to int64) bool {
+	if to <= freeEventBytes {
+		return true
+	}
+	if !x.take(to) {
+		return false
+	}
+	if from > freeEventBytes {
+		x.giveBack(from)
+	}
+	return true
+}
+
 // readAnswer reads an answer as readUpTo does, up to maxBufferedAnswerBytes. Its
 // buffer counts as memory of the request; if there is none left, ended is false.
 func (x *exchange) readAnswer(body io.Reader) (data []byte, ended bool, err error) {
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -167,3 +167,39 @@
 	must.False(t, conn.Reused())
 	conn.Close()
 }
+
+// Guards against endpoints that send events without an end: what many requests keep of them
+// must stay within the memory that clients may occupy.
+func TestUnfinishedEventsStayWithinTheMemory(t *testing.T) {
+	const calls, memory = 60, 8 << 20
+	filler := strings.Repeat("x", 16<<10)
+	s := newTestGatewayWithMemory(t, memory, calls, config(func(r *routing.Route) {
+		r.Kind, r.Timeout = routing.Stream, 4*time.Second
+	}), func(conn net.Conn, nth int, _ *http.Request) bool {
+		// Less than one event may have, and then nothing.
+		_, err := io.WriteString(conn, streamHead)
+		for n := 0; err == nil && n < maxEventBytes-2*len(filler); n += len(filler) {
+			_, err = io.WriteString(conn, chunk(filler))
+		}
+		_, _ = conn.Read(make([]byte, 1))
+		return false
+	})
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for range calls {
+		s.startRequest("Content-Length: 1", "x")
+	}
+	eventually(t, func() bool { return len(s.requests()) >= calls*3/4 })
+	worst := int64(0)
+	for s.handler.InFlight() > 0 {
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		worst = max(worst, int64(after.HeapAlloc)-int64(before.HeapAlloc))
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Logf("%d MB at most, %d requests at endpoints", worst>>20, len(s.requests()))
+	must.Less(t, 2*memory, worst)
+	// Others are served again.
+	must.Eq(t, 0, s.inUse())
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -17,6 +17,7 @@
 )
 
 var (
+	errEventMemory   = errors.New("gateway: no memory left for an event")
 	errEventTooLarge = errors.New("gateway: event exceeds the size limit")
 	errNoEvents      = errors.New("gateway: stream ended without an event, which does not prove its end")
 	errUnnumbered    = errors.New("gateway: event without an id in a stream that was continued")
@@ -48,6 +49,9 @@
 	firstForwardedAt time.Time
 	longestGap       time.Duration
 	buffer           []byte
+	// resize counts the memory of the buffer as it grows; it returns false if there is
+	// none left.
+	resize func(from, to int64) bool
 }
 
 // copy forwards events from body until its end. The error is nil only if the
@@ -58,7 +62,11 @@
 	c.eventCount, c.received = 0, 0
 	for {
 		if cap(c.buffer)-len(c.buffer) < readBytes {
-			c.buffer = append(make([]byte, 0, 2*cap(c.buffer)+readBytes), c.buffer...)
+			next := 2*cap(c.buffer) + readBytes
+			if !c.resize(int64(cap(c.buffer)), int64(next)) {
+				return errEventMemory
+			}
+			c.buffer = append(make([]byte, 0, next), c.buffer...)
 		}
 		n, err := body.Read(c.buffer[len(c.buffer) : len(c.buffer)+readBytes])
 		c.buffer = c.buffer[:len(c.buffer)+n]
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -192,6 +192,7 @@
 		info:      h.cfg.Dialect.ParseRequest(r.Header),
 		decisions: make(chan scheduler.Effect, 2),
 	}
+	x.events.resize = x.resizeEvents
 	x.hold()
 	return x
 }
