--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,7 +44,8 @@
 	// fingerprint is equal for requests with the same caller, path and body.
 	fingerprint uint64
 	started     time.Time
-	// ctx is done when the caller disconnects or at the deadline.
+	// ctx is done when the caller disconnects, at the deadline, or when the process is
+	// about to end.
 	ctx      context.Context
 	deadline time.Time
 	// decisions receives the scheduler's Dispatch and Refuse effects.
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -121,10 +121,10 @@
 	}
 	watch := x.watchBody(control, x.h.cfg.BodyStall)
 	deadline := time.AfterFunc(time.Until(x.deadline), watch.endRead)
-	keepReading := context.AfterFunc(x.h.ended, watch.endRead)
+	ignoreEnd := context.AfterFunc(x.h.ended, watch.endRead)
 	err := x.readAll(watch.progressed, limit)
 	deadline.Stop()
-	keepReading()
+	ignoreEnd()
 	watch.stop()
 	switch {
 	case err == nil:
