--- /dev/null
+++ b/review/standins-2/runner.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// run is one request that a runner has run.
+type run struct {
+	id, key, tenant, path string
+	at                    time.Time
+}
+
+// runner stands in for a sound runner of a plain service.
+type runner struct {
+	*record
+	id, service, address string
+	work                 time.Duration
+	started              time.Time
+
+	mu   sync.Mutex
+	runs []run
+}
+
+func newRunner(rec *record, id, service string, work time.Duration) (*runner, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &runner{record: rec, id: id, service: service, address: listener.Addr().String(), work: work, started: time.Now()}
+	go func() { _ = http.Serve(listener, r) }()
+	return r, nil
+}
+
+// register writes the runner's entry to the store and renews it.
+func (r *runner) register(s *store) {
+	write := func(sequence int) {
+		s.put("servers/"+r.id, map[string]any{
+			"Service": r.service, "Address": r.address, "Zone": zone, "Version": "v1", "Slots": 6, "State": "ready",
+			"ColdRemainingMs": 0, "Sequence": sequence, "born": r.started.UnixMilli(),
+		})
+	}
+	write(1)
+	go func() {
+		for n := 2; ; n++ {
+			time.Sleep(heartbeat)
+			write(n)
+		}
+	}()
+}
+
+// ran returns the runs of a request.
+func (r *runner) ran(id string) (out []run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, x := range r.runs {
+		if x.id == id {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	id := q.Header.Get("Balsamstair-Attempt-Id")
+	_, _ = io.Copy(io.Discard, q.Body)
+	w.Header().Set("Balsamstair-Attempt-Id", id)
+	if e := q.Header.Get("Balsamstair-Expect-Instance"); e != "" && e != r.id {
+		w.Header().Set("Balsamstair-Instance-Id", r.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	x := run{id, q.Header.Get("Balsamstair-Key"), q.Header.Get("Balsamstair-Tenant"), q.URL.Path, time.Now()}
+	r.mu.Lock()
+	r.runs = append(r.runs, x)
+	r.mu.Unlock()
+	r.log("runner %s runs request %s (%s %s), tenant %q", r.id, id, q.Method, q.URL.Path, x.tenant)
+	time.Sleep(r.work)
+	w.Header().Set("Balsamstair-Server-Stamp", "stamp-"+id)
+	body := fmt.Sprintf("answer to %s", id)
+	_, _ = io.WriteString(w, body)
+}
