--- a/review/standins-2/crashed.go
+++ b/review/standins-2/crashed.go
@@ -67,38 +67,3 @@
 	}
 	return short > 0, nil
 }
-
-// crashAfterFirstEvent kills one of four engines, which number their events from zero,
-// while its streams have brought their first event.
-func crashAfterFirstEvent(rec *record, trouble bool) (broken bool, err error) {
-	s, err := newStreamSite(rec, engines, "from-zero")
-	if s != nil {
-		defer s.close()
-	}
-	if err != nil {
-		return false, err
-	}
-	if trouble {
-		go s.crash(150*time.Millisecond, "from-zero")
-	}
-	complete, cut, twice := 0, 0, 0
-	for _, x := range s.streams(streamsAtOnce, 0) {
-		state := "is not complete"
-		switch {
-		case x.repeated():
-			twice++
-			state = "HAS AN EVENT TWICE"
-		case x.status == http.StatusOK && x.whole && len(x.events) == s.numbering.events:
-			complete++
-			state = "is complete"
-		default:
-			cut++
-		}
-		s.logStream(x, state)
-	}
-	rec.say("of %d streams %d are complete, %d are broken off or failed, %d have an event twice", streamsAtOnce, complete, cut, twice)
-	if complete == 0 {
-		return false, fmt.Errorf("no stream was served")
-	}
-	return twice > 0, nil
-}
--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -28,9 +28,8 @@
 // numberings are those of the cases by name. unframed has as many events as gift-card on
 // the site.
 var numberings = map[string]numbering{
-	"unframed":  {events: 70, first: 1, step: 1, interval: 30 * time.Millisecond, endsWithConnection: true},
-	"from-zero": {events: 12, first: 0, step: 1, interval: 300 * time.Millisecond},
-	"from-one":  {events: 12, first: 1, step: 1, interval: 30 * time.Millisecond},
+	"unframed": {events: 70, first: 1, step: 1, interval: 30 * time.Millisecond, endsWithConnection: true},
+	"from-one": {events: 12, first: 1, step: 1, interval: 30 * time.Millisecond},
 	// An event holds four tokens; its id is the number of tokens so far.
 	"by-tokens": {events: 12, first: 4, step: 4, interval: 30 * time.Millisecond},
 }
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -21,7 +21,6 @@
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"last-tenant": withdrawLastTenant,
-	"first-event": crashAfterFirstEvent,
 	"release":     releaseNumbering,
 	"crash":       crashDuringStreams,
 	"copy":        withdrawBeforeCopy,
--- a/review/standins-2/streams.go
+++ b/review/standins-2/streams.go
@@ -132,18 +132,6 @@
 	return out
 }
 
-// repeated reports whether an event came twice.
-func (x stream) repeated() bool {
-	seen := map[string]bool{}
-	for _, id := range x.events {
-		if seen[id] {
-			return true
-		}
-		seen[id] = true
-	}
-	return false
-}
-
 func (s *streamSite) logStream(x stream, state string) {
 	s.log("client of %s: status %d, %d of %d events (%s), the answer %s (%v)", x.id, x.status, len(x.events), s.numbering.events,
 		strings.Join(x.events, " "), state, x.err)
