Replace review case 8 by a removal that an instance misses

An instance that has just started answers readers at older revisions without the removals that it has never known, so that they keep a runner that has left.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 # then review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/balsamd ] && [ -x target/standins-2 ] || { echo "not built"; exit 2; }
-exec target/standins-2 release review/8
+exec target/standins-2 left review/8
--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -22,9 +22,11 @@
 // instance is one balsamd process, started with the command of deploy/system.toml.
 type instance struct {
 	name, host, settings string
-	log                  *os.File
-	command              *exec.Cmd
-	exited               chan struct{}
+	// storeLink is its way to the store.
+	storeLink *link
+	log       *os.File
+	command   *exec.Cmd
+	exited    chan struct{}
 }
 
 // Ports of an instance. Each has a loopback address of its own.
@@ -69,6 +71,9 @@
 	}
 	for k, h := range hosts {
 		i := &instance{name: fmt.Sprintf("edge-%s-%d", zone, k+1), host: h, settings: filepath.Join(d.folder, fmt.Sprintf("settings-%d.toml", k+1))}
+		if i.storeLink, err = newLink(d.store.address); err != nil {
+			return nil, err
+		}
 		// The fields are those of deploy/settings.toml.template, the values those of
 		// the site kfo-stair.
 		text := fmt.Sprintf(`instance = %q
@@ -91,7 +96,7 @@
 [limits]
 memory_mb = 284
 file_descriptors = 4100
-`, i.name, zone, i.address(callerPort), i.address(readyPort), i.address(metricsPort), i.address(controlPort), d.store.address,
+`, i.name, zone, i.address(callerPort), i.address(readyPort), i.address(metricsPort), i.address(controlPort), i.storeLink.address,
 			strings.Join(seeds, ","), heartbeat.Milliseconds(), int(grace.Seconds()))
 		if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 			return nil, err
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -21,9 +21,12 @@
 	id, service, address string
 	work                 time.Duration
 	started              time.Time
+	server               *http.Server
 
 	mu   sync.Mutex
 	runs []run
+	// left is set once the runner renews its entry no more.
+	left bool
 }
 
 func newRunner(rec *record, id, service string, work time.Duration) (*runner, error) {
@@ -32,13 +35,19 @@
 		return nil, err
 	}
 	r := &runner{record: rec, id: id, service: service, address: listener.Addr().String(), work: work, started: time.Now()}
-	go func() { _ = http.Serve(listener, r) }()
+	r.server = &http.Server{Handler: r}
+	go func() { _ = r.server.Serve(listener) }()
 	return r, nil
 }
 
 // register writes the runner's entry to the store and renews it.
 func (r *runner) register(s *store) {
 	write := func(sequence int) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.left {
+			return
+		}
 		s.put("servers/"+r.id, map[string]any{
 			"Service": r.service, "Address": r.address, "Zone": zone, "Version": "v1", "Slots": 6, "State": "ready",
 			"ColdRemainingMs": 0, "Sequence": sequence, "born": r.started.UnixMilli(),
@@ -53,6 +62,17 @@
 	}()
 }
 
+// leave removes the runner's entry, as a runner does that never reports that it drains.
+func (r *runner) leave(s *store) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left = true
+	s.remove("servers/" + r.id)
+}
+
+// exit ends the runner: its connections are closed.
+func (r *runner) exit() { _ = r.server.Close() }
+
 // ran returns the runs of a request.
 func (r *runner) ran(id string) (out []run) {
 	r.mu.Lock()
