Require keys while the list of organisations is empty

What callers saw: after the operator withdrew the last organisation ("Tenants": []), every instance ran every request, with the withdrawn key, with a key that never was in a configuration, and without one.

Cause: the routing table took "has an organisation" for "has a list of organisations", and the adapter decoded an empty list and a missing field into the same value.

Change: routing.Config.Keys says whether there is a list; the adapter sets it for anything that the field holds, and leaves out single unusable entries instead of rejecting the configuration. It is passed on by replicas and relays. Instances of earlier builds drop it, so a configuration without organisations that does not state it is read elsewhere, and until then the one before is overtaken. A version that loses the field after one that had it opens no route (503, organisations_missing); instances report the newest version that required keys, so that later starts learn it.

--- a/internal/directory/config_fetch.go
+++ b/internal/directory/config_fetch.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -29,6 +31,8 @@
 	polls  map[string]*poll
 	tried  []string
 	nextAt int64
+	// unstated is set once a source had it without stating whether keys are required.
+	unstated bool
 }
 
 // configBehind reports whether a newer configuration was announced than was received.
@@ -115,6 +119,11 @@
 	w.recordConfig(&u)
 	if a.err != nil || w.configVersion == before {
 		f.nextAt = min(f.nextAt, w.cfg.Now())
+		if errors.Is(a.err, ErrKeysUnstated) && !f.unstated {
+			f.unstated = true
+			u.Err, u.Batch = a.err, Batch{ConfigVersion: f.version}
+			return u, true
+		}
 		return Update{}, false
 	}
 	return u, true
--- a/internal/directory/config_fetch_test.go
+++ b/internal/directory/config_fetch_test.go
@@ -15,7 +15,7 @@
 )
 
 func configChange(version, revision int64) Change {
-	return Change{Revision: revision, Config: &routing.Config{Version: version}}
+	return Change{Revision: revision, Config: &routing.Config{Version: version, Keys: routing.KeysNotRequired}}
 }
 
 // announcingRelay serves the changes of endpoints, announces a configuration and sends
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -29,6 +29,11 @@
 // ErrLate means that no answer has arrived in time that is current. The read goes on.
 var ErrLate = errors.New("directory: answer is late")
 
+// ErrKeysUnstated means that a configuration does not tell whether requests need keys:
+// an instance of an earlier release, which takes an empty list of organisations for none,
+// has passed it on.
+var ErrKeysUnstated = errors.New("directory: configuration does not state whether keys are required")
+
 // Position is a point in the platform's history.
 type Position struct {
 	// Era is the number of the history. It increases when the platform comes back
--- a/internal/directory/propagation_test.go
+++ b/internal/directory/propagation_test.go
@@ -291,7 +291,7 @@
 
 // largeConfig returns a configuration with thousands of routes.
 func largeConfig() *routing.Config {
-	c := &routing.Config{Version: 2}
+	c := &routing.Config{Version: 2, Keys: routing.KeysNotRequired}
 	for n := range 4250 {
 		c.Routes = append(c.Routes, routing.Route{
 			Name: fmt.Sprintf("r-%x", xxhash.Sum64String(fmt.Sprint(n))), Host: fmt.Sprintf("host%d.example", n%97), Prefix: fmt.Sprintf("/path%d/", n),
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/routing"
 	"github.com/cockroachdb/errors"
 )
 
@@ -172,9 +173,22 @@
 	}
 	answer.Batch.Late, answer.Batch.ConfigVersion = answer.Late, answer.ConfigVersion
 	answer.Batch.Age = time.Duration(answer.AgeMicros) * time.Microsecond
+	answer.Batch.announceUnstated()
 	return answer.Batch, nil
 }
 
+// announceUnstated replaces a configuration that does not state whether keys are required
+// by the announcement of its version, so that it is read from another source.
+func (b *Batch) announceUnstated() {
+	b.Changes = slices.DeleteFunc(b.Changes, func(c Change) bool {
+		if c.Config == nil || c.Config.KeyRequirement() != routing.KeysUnstated {
+			return false
+		}
+		b.ConfigVersion = max(b.ConfigVersion, c.Config.Version)
+		return true
+	})
+}
+
 // Config implements Source.
 func (r *Relay) Config(ctx context.Context) (Batch, error) {
 	response, body, err := r.get(ctx, relayConfigPath, nil)
@@ -192,6 +206,9 @@
 	if err := json.NewDecoder(io.LimitReader(unpacked, maxRelayBytes)).Decode(&change); err != nil {
 		return Batch{}, errors.Wrap(err, "relay: configuration")
 	}
+	if change.Config != nil && change.Config.KeyRequirement() == routing.KeysUnstated {
+		return Batch{}, ErrKeysUnstated
+	}
 	return Batch{Changes: []Change{change}}, nil
 }
 
--- a/internal/directory/replica_test.go
+++ b/internal/directory/replica_test.go
@@ -23,7 +23,7 @@
 func newListedReplica() *Replica {
 	r := NewReplica()
 	r.Apply(Update{ReadAt: 100, Full: true, Batch: Batch{Revision: 10, Changes: []Change{
-		putChange("a", 3), putChange("b", 4), {Revision: 5, Config: &routing.Config{Version: 1}},
+		putChange("a", 3), putChange("b", 4), {Revision: 5, Config: &routing.Config{Version: 1, Keys: routing.KeysNotRequired}},
 	}}})
 	return r
 }
--- a/internal/gateway/resolve.go
+++ b/internal/gateway/resolve.go
@@ -39,6 +39,10 @@
 	if x.route.Public || !table.RequiresKeys() {
 		return 0, ""
 	}
+	if table.OrganisationsMissing() {
+		// Not 401, which callers take as final: their keys may be valid again.
+		return http.StatusServiceUnavailable, string(scheduler.OrganisationsMissing)
+	}
 	if x.org = table.Organisation(x.info.Key); x.org != nil {
 		return 0, ""
 	}
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -119,5 +119,8 @@
 	Routes        []Route
 	Services      []Service
 	Organisations []Organisation
-	Limits        Limits
+	// Keys distinguishes an empty list of organisations from none. KeyRequirement
+	// evaluates it.
+	Keys   KeyRequirement `json:",omitempty"`
+	Limits Limits
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -14,6 +14,8 @@
 	organisationsByKey map[string]*Organisation
 	services           map[string]*Service
 	organisations      map[string]*Organisation
+	// organisationsMissing is set by RetainKeys.
+	organisationsMissing bool
 }
 
 // NewTable indexes a configuration. It retains config, which must not be
@@ -63,10 +65,6 @@
 	return nil
 }
 
-// RequiresKeys reports whether requests to non-public routes need a key, which
-// is the case once any organisation is configured.
-func (t *Table) RequiresKeys() bool { return len(t.config.Organisations) > 0 }
-
 // Organisation returns the organisation that a key belongs to, or nil.
 func (t *Table) Organisation(key string) *Organisation { return t.organisationsByKey[key] }
 
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -62,3 +62,18 @@
 	must.False(t, (&Route{Kind: Stream}).Retryable())
 	must.True(t, (&Route{Kind: Stream, Resumable: true}).Retryable())
 }
+
+// Guards against routes that open since the list of organisations is empty or missing.
+func TestKeysAreRequiredByAnEmptyListAndAfterOne(t *testing.T) {
+	empty := NewTable(Config{Keys: KeysRequired})
+	must.True(t, empty.RequiresKeys())
+	must.False(t, empty.OrganisationsMissing())
+	must.False(t, empty.RetainKeys().OrganisationsMissing())
+	none := NewTable(Config{Version: 3, Keys: KeysNotRequired})
+	must.False(t, none.RequiresKeys())
+	retained := none.RetainKeys()
+	must.True(t, retained.RequiresKeys())
+	must.True(t, retained.OrganisationsMissing())
+	must.Eq(t, 3, retained.Version())
+	must.False(t, none.RequiresKeys())
+}
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -127,6 +127,9 @@
 	ConfigUnknown Reason = "config_unknown"
 	// ConfigStale means that the validity of keys was not confirmed recently.
 	ConfigStale Reason = "config_stale"
+	// OrganisationsMissing means that the configuration has no list of organisations
+	// although an earlier one had, so that it can't be told which keys are valid.
+	OrganisationsMissing Reason = "organisations_missing"
 	// QuotaExceeded means that the organisation's quota is currently used up.
 	QuotaExceeded Reason = "quota_exceeded"
 	// NoEndpoint means that the service has no endpoint that could take the
@@ -173,7 +176,7 @@
 
 // Reasons returns the complete list of reasons.
 func Reasons() []Reason {
-	return []Reason{ConfigUnknown, ConfigStale, QuotaExceeded, NoEndpoint, QueueDelay, ExpectedDelay, QueueFull, EndpointsFull,
+	return []Reason{ConfigUnknown, ConfigStale, OrganisationsMissing, QuotaExceeded, NoEndpoint, QueueDelay, ExpectedDelay, QueueFull, EndpointsFull,
 		LimitReached, EndpointsResting, CrashSuspect, StreamOriginUnknown, StreamVersionGone, InstanceStopping, PeerBusy, AttemptsUsed, RetryBudgetUsed, NotRepeatable, DeadlinePassed}
 }
 
@@ -191,6 +194,9 @@
 	CounterKeepersReplaced Counter = "quota_keepers_replaced_total"
 	// CounterHistories counts the times at which the platform came back from a copy.
 	CounterHistories Counter = "platform_histories_replaced_total"
+	// CounterOrganisationsMissing counts the configurations in force that lack the list
+	// of organisations which an earlier one had.
+	CounterOrganisationsMissing Counter = "config_organisations_missing_total"
 	// CounterEndpointEnds counts by evidence, CrashesCounter by observed or
 	// reported.
 	CounterEndpointEnds Counter = "routed_endpoint_ends_total"
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -283,6 +283,9 @@
 	Leaving bool
 	// Version is the version of the configuration in force at the sender.
 	Version int64
+	// KeysVersion is the newest version of a configuration that requires keys which the
+	// sender knows of, or zero.
+	KeysVersion int64
 	// Demand is the cost per second of the requests received by the sender.
 	Demand float64
 	// InstanceCount is the sender's estimate of the number of instances.
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -347,6 +347,7 @@
 	x.demand = r.Demand
 	s.applyPathReport(x, r.Paths)
 	s.versionReported(x, r.Version)
+	s.keysReported(r.KeysVersion, r.Address)
 	s.probeUnknownMembers(r.Members)
 	if len(r.Members) == 0 && x.firstContact == s.now {
 		// It knows nobody yet, and its turn among all members may be seconds away.
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -83,6 +83,11 @@
 		s.log("read_late", "from", cmp.Or(u.From, platformSource), "config_age_ms", s.configAge().Milliseconds())
 		return
 	}
+	if errors.Is(u.Err, directory.ErrKeysUnstated) {
+		s.count(CounterReads, "keys_unstated")
+		s.log("config_withheld", "version", u.Batch.ConfigVersion, "from", u.From, "error", u.Err.Error(), "config_age_ms", s.configAge().Milliseconds())
+		return
+	}
 	if u.Err != nil {
 		s.count(CounterReads, "failed")
 		if s.platform.lastError == "" {
@@ -216,7 +221,7 @@
 	} else {
 		previous = s.table.Version()
 	}
-	s.table = routing.NewTable(*c)
+	s.table = s.retainKeys(routing.NewTable(*c))
 	s.recordRoutes(c)
 	s.startedBehind = (s.startedBehind || first) && s.behind()
 	s.applyQuotas()
@@ -227,6 +232,6 @@
 	s.coldFiguresChanged()
 	s.emit(ConfigAdopted{Table: s.table})
 	s.log("config_adopted", "version", c.Version, "before", previous, "revision", revision,
-		"routes", len(c.Routes), "organisations", len(c.Organisations),
+		"routes", len(c.Routes), "organisations", len(c.Organisations), "keys", c.KeyRequirement().String(),
 		"from", s.reading.source, "read_age_ms", s.readAge().Milliseconds())
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -109,6 +109,7 @@
 		Zone:          s.cfg.Zone,
 		Age:           s.now.Sub(s.started),
 		Leaving:       s.leaving,
+		KeysVersion:   s.keysVersion,
 		Demand:        m.demand.perSecond,
 		InstanceCount: m.reportedCount(s.now),
 		Members:       s.memberSample(),
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -133,7 +133,7 @@
 // time after which the caller may retry.
 func (s *State) admit(r *request, p *pool) (Reason, time.Duration) {
 	switch {
-	case r.Organisation != nil && (s.configStale() || !s.keyStillValid(r)):
+	case s.needsKey(r) && (s.configStale() || !s.keyStillValid(r)):
 		return ConfigStale, s.retryAfter(r)
 	case s.isConvicted(r):
 		return CrashSuspect, 0
@@ -158,6 +158,9 @@
 	if s.table == nil || r.Version >= s.table.Version() {
 		return true
 	}
+	if r.Organisation == nil {
+		return !s.table.RequiresKeys()
+	}
 	current := s.table.Organisation(r.Key)
 	if current == nil || current.Name != r.Organisation.Name {
 		return false
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -60,11 +60,14 @@
 	rand     *rand.Rand
 	effects  []Effect
 
-	table     *routing.Table
-	platform  platformStatus
-	reading   directoryReading
-	endpoints map[string]*endpoint
-	pools     map[string]*pool
+	table *routing.Table
+	// keysVersion is the newest version known of a configuration that requires keys, here
+	// or at another instance; zero if there was none.
+	keysVersion int64
+	platform    platformStatus
+	reading     directoryReading
+	endpoints   map[string]*endpoint
+	pools       map[string]*pool
 	// poolOrder holds the pools in order of first use, so that equal events
 	// produce equal effects.
 	poolOrder []*pool
