Take an empty key of an organisation for none

Change: the table leaves empty keys out. TestEmptyKeyIsNoKey failed before: the lookup returned the organisation.

--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -43,7 +43,10 @@
 		o := &t.config.Organisations[i]
 		t.organisations[o.Name] = o
 		for _, key := range o.Keys {
-			t.organisationsByKey[key] = o
+			// A request without a key must not be taken for one with an empty key.
+			if key != "" {
+				t.organisationsByKey[key] = o
+			}
 		}
 	}
 	return t
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -63,6 +63,14 @@
 	must.True(t, (&Route{Kind: Stream, Resumable: true}).Retryable())
 }
 
+// Guards against requests without a key that are taken for those of an organisation whose
+// list of keys has an empty one.
+func TestEmptyKeyIsNoKey(t *testing.T) {
+	table := NewTable(Config{Organisations: []Organisation{{Name: "o", Keys: []string{"", "k"}}}})
+	must.Nil(t, table.Organisation(""))
+	must.Eq(t, "o", table.Organisation("k").Name)
+}
+
 // Guards against routes that open since the list of organisations is empty or missing.
 func TestKeysAreRequiredByAnEmptyListAndAfterOne(t *testing.T) {
 	empty := NewTable(Config{Keys: KeysRequired})
