Send the configuration in force, not a cached one of the same version

Cause: the compressed configuration was cached by version. After the platform came back from a copy, a version can be written again with other contents, and readers got the contents before.

Change: the cache holds the configuration that it encodes. TestEncodedConfigurationIsThatInForce failed before: the key requirement of the first configuration was sent.

--- a/internal/directory/keys_test.go
+++ b/internal/directory/keys_test.go
@@ -43,6 +43,19 @@
 	}
 }
 
+// Guards against a cached encoding that is sent although the configuration was replaced by
+// another one of the same version, as when the operator writes again after a copy.
+func TestEncodedConfigurationIsThatInForce(t *testing.T) {
+	r := listedConfig(routing.Config{Version: 7, Keys: routing.KeysNotRequired})
+	relay := &Relay{Address: relayOf(t, r), Client: http.DefaultClient}
+	_, err := relay.Config(t.Context())
+	must.NoError(t, err)
+	r.Apply(Update{ReadAt: 200, Batch: Batch{Revision: 13, Changes: []Change{{Revision: 13, Config: &routing.Config{Version: 7, Keys: routing.KeysRequired}}}}})
+	batch, err := relay.Config(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, routing.KeysRequired, batch.Changes[0].Config.KeyRequirement())
+}
+
 // Guards against an empty list of organisations that an instance of an earlier release
 // passes on as none. The configuration is read from the platform; while that is
 // unreachable, the one before counts as overtaken and is not confirmed.
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/routing"
 	"github.com/cockroachdb/errors"
 )
 
@@ -218,8 +219,8 @@
 
 // encodedConfig is a configuration as it is sent to other instances.
 type encodedConfig struct {
-	version int64
-	body    []byte
+	config *routing.Config
+	body   []byte
 }
 
 // errNoConfig means that no configuration has been received yet.
@@ -234,7 +235,7 @@
 	switch {
 	case !known:
 		return nil, errNoConfig
-	case encoded.version == change.Config.Version && encoded.body != nil:
+	case encoded.config == change.Config:
 		return encoded.body, nil
 	}
 	var out bytes.Buffer
@@ -247,6 +248,6 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.encodedConfig = encodedConfig{change.Config.Version, out.Bytes()}
+	r.encodedConfig = encodedConfig{change.Config, out.Bytes()}
 	return out.Bytes(), nil
 }
