Do not go on from a revision whose deletions a source has not seen

What callers saw: an endpoint was removed while one instance had no path to the store and the instances that it reads from were restarted. It sent the endpoint requests for good; those that ran there when it exited were lost.

Cause: an instance answered readers at a revision before its own first listing with the changes that it knew, which lack the removals in between, and the readers took its newer revision over. The same after a further listing, after a new history, and when forgotten deletions moved the bound back to before a listing.

Change: a replica states since when it has seen all deletions, and refuses readers from before that; they list it. Readers protect themselves from earlier builds, which state nothing: changes count only from the revision of the first answer on a connection, which net/http tells apart; otherwise the platform is read, or, if it is unreachable, the instance is listed until the platform answers. history_gap, directory_listed and endpoint_gone unlisted tell it in the log.

Why it works: a list is complete up to its reader's position if it began with a listing and each source of changes has seen all deletions since that position.

TestWatcherReadsBackupsWhilePlatformIsUnreachable let a reader at revision 5 go on with an instance that had first listed at 10, which is the fault. That instance now has its history from 5 on; what the test requires is the same.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -34,6 +34,10 @@
 // has passed it on.
 var ErrKeysUnstated = errors.New("directory: configuration does not state whether keys are required")
 
+// ErrUnprovenHistory means that the changes which another instance returned may lack
+// deletions: it does not state since when it has seen them all.
+var ErrUnprovenHistory = errors.New("directory: answer may lack deletions")
+
 // Position is a point in the platform's history.
 type Position struct {
 	// Era is the number of the history. It increases when the platform comes back
@@ -101,6 +105,13 @@
 	// Evacuations is set if a listing contains the evacuations. It is not set by instances
 	// of earlier releases, whose listings do not end evacuations by lacking them.
 	Evacuations bool `json:",omitempty"`
+	// HistorySince is the revision from which on the instance that served the read has
+	// seen all deletions. Zero means not stated: it is of an earlier release, or relies on
+	// one that is. Reads from the platform do not set it.
+	HistorySince int64 `json:"-"`
+	// Session identifies the connection on which an instance answered, and thereby its
+	// process. It is nil if unknown.
+	Session any `json:"-"`
 	// ConfigVersion is the version of the newest configuration that the instance which
 	// served the read knows of, or zero. Such a read does not contain configurations.
 	ConfigVersion int64 `json:"-"`
--- a/internal/directory/poll.go
+++ b/internal/directory/poll.go
@@ -102,7 +102,11 @@
 		plan = w.cfg.Plan()
 	}
 	now, found := w.cfg.Now(), false
-	for _, s := range plan.sources() {
+	sources := plan.sources()
+	if w.provisional {
+		sources = append([]string{platformAddress}, sources...)
+	}
+	for _, s := range sources {
 		if w.polls[s] != nil {
 			continue
 		}
@@ -130,12 +134,13 @@
 // start begins to read a source.
 func (w *Watcher) start(ctx context.Context, from string, wait time.Duration) {
 	timeout, limit := wait+pollTimeoutSlack, wait+maxConfigTransfer
-	if !w.listed {
+	full := !w.listed || w.listsAgain(from)
+	if full {
 		timeout = listTimeout
 	}
 	source := w.source(from)
 	pollCtx, progress, cancel := stallTimeout(ctx, timeout, pollTimeoutSlack, limit)
-	p := &poll{from: from, full: !w.listed, after: w.position, startedAt: w.cfg.Now(), progress: progress, cancel: cancel}
+	p := &poll{from: from, full: full, after: w.position, startedAt: w.cfg.Now(), progress: progress, cancel: cancel}
 	w.polls[from] = p
 	w.deliver(ctx, pollCtx, p, func() (Batch, error) {
 		if p.full {
--- a/internal/directory/propagation_test.go
+++ b/internal/directory/propagation_test.go
@@ -5,10 +5,13 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,6 +56,18 @@
 	// learned is when the change of the test was received, configured when its
 	// configuration was.
 	learned, configured time.Time
+
+	// kill ends the process, after which down is set. connection is that of its answers.
+	kill       context.CancelFunc
+	down       bool
+	connection net.Conn
+	// earlier lets the instance answer as one of an earlier release: it neither states nor
+	// observes since when it has seen all deletions.
+	earlier bool
+	// known holds the IDs of the endpoints that it uses, listings counts its listings of
+	// the platform.
+	known    map[string]bool
+	listings int
 }
 
 // transfer occupies the link for the time of an answer, whose parts ctx is told of.
@@ -77,7 +92,7 @@
 func newFleet(ctx context.Context, size int) *fleet {
 	f := &fleet{start: time.Now(), changed: make(chan struct{})}
 	for n := range size {
-		i := &fleetInstance{fleet: f, address: fleetAddress(n), replica: NewReplica(), link: make(chan struct{}, 1)}
+		i := &fleetInstance{fleet: f, address: fleetAddress(n), replica: NewReplica(), link: make(chan struct{}, 1), known: map[string]bool{}}
 		i.plan.IsRelay = n < 2
 		if !i.plan.IsRelay {
 			i.plan.Relay = fleetAddress(n % 2)
@@ -87,19 +102,29 @@
 	}
 	f.publish(putChange("e", 0))
 	for n, i := range f.instances {
-		w := NewWatcher(WatcherConfig{
-			Source: i, Plan: func() ReadPlan { return i.plan }, RelayClient: &http.Client{Transport: i}, Now: f.now,
-			Updated: i.updated,
-		})
-		go func() {
-			// The polls of the instances are spread over the time of one.
-			time.Sleep(time.Duration(n) * 97 * time.Millisecond % time.Second)
-			_ = w.Serve(ctx)
-		}()
+		// The polls of the instances are spread over the time of one.
+		i.run(ctx, time.Duration(n)*97*time.Millisecond%time.Second)
 	}
 	return f
 }
 
+// run starts a process of the instance after a delay.
+func (i *fleetInstance) run(ctx context.Context, delay time.Duration) {
+	ctx, i.kill = context.WithCancel(ctx)
+	w := NewWatcher(WatcherConfig{
+		Source: i, Plan: func() ReadPlan { return i.plan }, RelayClient: &http.Client{Transport: i}, Now: i.fleet.now,
+		Updated: func(u Update) {
+			if ctx.Err() == nil {
+				i.updated(u)
+			}
+		},
+	})
+	go func() {
+		time.Sleep(delay)
+		_ = w.Serve(ctx)
+	}()
+}
+
 func (f *fleet) now() int64 { return int64(time.Since(f.start)) }
 
 func (f *fleet) publish(c Change) {
@@ -112,9 +137,25 @@
 }
 
 func (i *fleetInstance) updated(u Update) {
-	i.replica.Apply(u)
 	i.fleet.mu.Lock()
 	defer i.fleet.mu.Unlock()
+	i.replica.Apply(u)
+	if i.earlier {
+		i.replica.historySince, i.replica.provisional = 0, true
+	}
+	if u.Err == nil && u.Full {
+		clear(i.known)
+		if u.From == platformAddress {
+			i.listings++
+		}
+	}
+	for _, c := range u.Batch.Changes {
+		if c.Endpoint != nil {
+			i.known[c.EndpointID] = true
+		} else {
+			delete(i.known, c.EndpointID)
+		}
+	}
 	for _, c := range u.Batch.Changes {
 		if c.Config != nil {
 			i.configured = time.Now()
@@ -154,7 +195,7 @@
 	for expired := false; ; {
 		f := i.fleet
 		f.mu.Lock()
-		lost, delay := i.withoutPlatform || i.frozen, i.platformDelay
+		lost, delay := i.withoutPlatform || i.frozen || i.down, i.platformDelay
 		revision, published, changed := int64(len(f.published)), f.published, f.changed
 		f.mu.Unlock()
 		if lost {
@@ -187,6 +228,32 @@
 	return i.frozen
 }
 
+// process returns the replica of the running process and the connection to it.
+func (i *fleetInstance) process() (replica *Replica, connection net.Conn, down bool) {
+	i.fleet.mu.Lock()
+	defer i.fleet.mu.Unlock()
+	if i.connection == nil {
+		i.connection, _ = net.Pipe()
+	}
+	return i.replica, i.connection, i.down
+}
+
+// stop kills the process, start starts another one.
+func (i *fleetInstance) stop() {
+	i.fleet.mu.Lock()
+	defer i.fleet.mu.Unlock()
+	i.kill()
+	i.down = true
+}
+
+func (i *fleetInstance) start(ctx context.Context) {
+	i.fleet.mu.Lock()
+	defer i.fleet.mu.Unlock()
+	i.down, i.connection, i.replica = false, nil, NewReplica()
+	clear(i.known)
+	i.run(ctx, 0)
+}
+
 // RoundTrip implements http.RoundTripper for calls to other instances.
 func (i *fleetInstance) RoundTrip(r *http.Request) (*http.Response, error) {
 	var to *fleetInstance
@@ -199,8 +266,18 @@
 	time.Sleep(time.Millisecond)
 	recorder := httptest.NewRecorder()
 	lost := i.isFrozen() || to.isFrozen()
+	replica, connection, down := to.process()
+	if down {
+		return nil, syscall.ECONNREFUSED
+	}
+	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil {
+		trace.GotConn(httptrace.GotConnInfo{Conn: connection})
+	}
 	if !lost {
-		RelayHandler(to.replica, i.fleet.now).ServeHTTP(recorder, r)
+		RelayHandler(replica, i.fleet.now).ServeHTTP(recorder, r)
+	}
+	if now, _, down := to.process(); down || now != replica {
+		return nil, syscall.ECONNRESET
 	}
 	if lost || i.isFrozen() || to.isFrozen() {
 		<-r.Context().Done()
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strconv"
@@ -18,11 +19,13 @@
 )
 
 // relayPath and relayConfigPath are the HTTP paths of RelayHandler. relayEraHeader
-// contains the era of the data in answers that refuse a read.
+// contains the era of the data in answers that refuse a read, relayHistoryHeader
+// Batch.HistorySince.
 const (
-	relayPath       = "/directory"
-	relayConfigPath = "/directory/config"
-	relayEraHeader  = "Directory-Era"
+	relayPath          = "/directory"
+	relayConfigPath    = "/directory/config"
+	relayEraHeader     = "Directory-Era"
+	relayHistoryHeader = "Directory-History-Since"
 )
 
 const (
@@ -38,9 +41,10 @@
 	// AgeMicros is how far the data was out of date when the request arrived,
 	// in microseconds.
 	AgeMicros int64
-	// Late and ConfigVersion are those of Batch.
+	// Late, ConfigVersion and HistorySince are those of Batch.
 	Late          bool  `json:",omitempty"`
 	ConfigVersion int64 `json:",omitempty"`
+	HistorySince  int64 `json:",omitempty"`
 }
 
 // relayHandler is the http.Handler that RelayHandler returns.
@@ -94,6 +98,7 @@
 	wait := min(time.Duration(ms)*time.Millisecond, maxRelayWait)
 	batch, age, err := h.replica.Watch(q.Context(), requestedAt, Position{Era: era, Revision: after}, wait)
 	w.Header().Set(relayEraHeader, strconv.FormatInt(batch.Era, 10))
+	w.Header().Set(relayHistoryHeader, strconv.FormatInt(batch.HistorySince, 10))
 	switch {
 	case errors.Is(err, ErrCompacted):
 		http.Error(w, err.Error(), http.StatusGone)
@@ -112,6 +117,7 @@
 	// The write fails only if the client has disconnected.
 	_ = json.NewEncoder(w).Encode(relayAnswer{
 		Batch: batch, AgeMicros: age.Microseconds(), Late: batch.Late, ConfigVersion: batch.ConfigVersion,
+		HistorySince: batch.HistorySince,
 	})
 }
 
@@ -149,6 +155,8 @@
 }
 
 func (r *Relay) watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
+	var session any
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { session = c.Conn }})
 	response, body, err := r.get(ctx, relayPath, url.Values{
 		"after":   {strconv.FormatInt(after.Revision, 10)},
 		"era":     {strconv.FormatInt(after.Era, 10)},
@@ -161,9 +169,10 @@
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusGone:
-		// A header that is no number states no era.
+		// A header that is no number states nothing.
 		era, _ := strconv.ParseInt(response.Header.Get(relayEraHeader), 10, 64)
-		return Batch{Era: max(era, 0)}, ErrCompacted
+		since, _ := strconv.ParseInt(response.Header.Get(relayHistoryHeader), 10, 64)
+		return Batch{Era: max(era, 0), HistorySince: max(since, 0), Session: session}, ErrCompacted
 	default:
 		return Batch{}, errors.Newf("relay answered %d", response.StatusCode)
 	}
@@ -172,6 +181,7 @@
 		return Batch{}, errors.Wrap(err, "relay: answer")
 	}
 	answer.Batch.Late, answer.Batch.ConfigVersion = answer.Late, answer.ConfigVersion
+	answer.Batch.HistorySince, answer.Batch.Session = answer.HistorySince, session
 	answer.Batch.Age = time.Duration(answer.AgeMicros) * time.Microsecond
 	answer.Batch.announceUnstated()
 	return answer.Batch, nil
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -27,8 +27,11 @@
 	hasListing bool
 	// evacuations is set if the listing contained the evacuations.
 	evacuations bool
-	// compactRevision is the revision before which deletions are not retained.
-	compactRevision int64
+	// historySince is the revision from which on all deletions are retained. Those before
+	// the first listing, or between a listing and the read before it, were never seen.
+	historySince int64
+	// provisional is that of the latest listing.
+	provisional bool
 	// era and revision are the position of the data.
 	era, revision int64
 	// confirmedAt is the time as of which the data is known to be current:
@@ -89,7 +92,8 @@
 	}
 	r.hasListing = r.hasListing || u.Full
 	if u.Full {
-		r.evacuations = u.Batch.Evacuations
+		r.evacuations, r.provisional = u.Batch.Evacuations, u.Provisional
+		r.historySince = max(r.historySince, u.Batch.Revision)
 	}
 	r.revision = max(r.revision, u.Batch.Revision)
 	r.announcedConfig = max(r.announcedConfig, u.Batch.ConfigVersion)
@@ -118,7 +122,7 @@
 		r.entries[""] = config
 	}
 	r.tombstones = nil
-	r.era, r.revision, r.compactRevision = era, 0, 0
+	r.era, r.revision, r.historySince = era, 0, 0
 }
 
 func (r *Replica) apply(c Change) {
@@ -139,14 +143,12 @@
 	delete(r.entries, c.key())
 	r.tombstones = append(r.tombstones, c)
 	if len(r.tombstones) > maxTombstones {
-		r.compactRevision = r.tombstones[0].Revision
+		r.historySince = max(r.historySince, r.tombstones[0].Revision)
 		r.tombstones = r.tombstones[1:]
 	}
 }
 
-// removeUnlisted deletes the entries that a full listing does not contain. The
-// revisions of their deletions are unknown, so readers at earlier revisions
-// must request a full listing.
+// removeUnlisted deletes the entries that a full listing does not contain.
 func (r *Replica) removeUnlisted(b Batch) {
 	listed := map[string]bool{}
 	for _, c := range b.Changes {
@@ -159,7 +161,6 @@
 		}
 		if key != "" && !listed[key] {
 			delete(r.entries, key)
-			r.compactRevision = max(r.compactRevision, b.Revision)
 		}
 	}
 }
@@ -199,10 +200,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	after := position.Revision
-	if !r.hasListing || after > 0 && (after < r.compactRevision || r.otherHistory(position)) {
-		return Batch{Era: r.era}, 0, ErrCompacted
+	if !r.hasListing || after > 0 && (after < r.historySince || r.otherHistory(position)) {
+		return Batch{Era: r.era, HistorySince: r.statedHistory()}, 0, ErrCompacted
+	}
+	batch := Batch{
+		Era: r.era, Revision: max(r.revision, after), Late: r.lateSince != 0, ConfigVersion: r.announcedConfig,
+		Evacuations: r.evacuations, HistorySince: r.statedHistory(),
 	}
-	batch := Batch{Era: r.era, Revision: max(r.revision, after), Late: r.lateSince != 0, ConfigVersion: r.announcedConfig, Evacuations: r.evacuations}
 	for _, c := range r.entries {
 		if c.Revision > after || after == 0 {
 			batch.Changes = append(batch.Changes, c)
@@ -217,6 +221,14 @@
 	return batch, time.Duration(max(requestedAt-r.confirmedAt, 0)), nil
 }
 
+// statedHistory returns historySince, or zero if the data may lack a deletion.
+func (r *Replica) statedHistory() int64 {
+	if !r.hasListing || r.provisional {
+		return 0
+	}
+	return r.historySince
+}
+
 // encodedConfig is a configuration as it is sent to other instances.
 type encodedConfig struct {
 	config *routing.Config
--- a/internal/directory/replica_test.go
+++ b/internal/directory/replica_test.go
@@ -165,7 +165,8 @@
 // continues with their data, whose age counts as usual.
 func TestWatcherReadsBackupsWhilePlatformIsUnreachable(t *testing.T) {
 	replica := NewReplica()
-	replica.Apply(Update{ReadAt: 100, Full: true, Batch: Batch{Revision: 10, Changes: []Change{putChange("a", 3)}}})
+	replica.Apply(Update{ReadAt: 90, Full: true, Batch: Batch{Revision: 5, Changes: []Change{putChange("a", 3)}}})
+	replica.Apply(Update{ReadAt: 100, Batch: Batch{Revision: 10, Changes: []Change{putChange("b", 10)}}})
 	server := httptest.NewServer(RelayHandler(replica, func() int64 { return 100 }))
 	defer server.Close()
 	clock := int64(time.Hour)
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -56,8 +56,13 @@
 	// From is the address of the instance that served the read. It is empty
 	// for the platform.
 	From string
-	// Full is set if Batch is a full listing rather than a set of changes.
-	Full bool
+	// Full is set if Batch is a full listing rather than a set of changes since the
+	// revision After.
+	Full  bool
+	After int64
+	// Provisional is set on a listing from an instance that may have missed deletions. The
+	// platform is listed once it answers.
+	Provisional bool
 	// NewHistory is set on the first listing after the platform has come back
 	// from a copy: what was read before may be missing in it, and what was
 	// removed before may be back.
@@ -122,6 +127,10 @@
 	cfg      WatcherConfig
 	listed   bool
 	position Position
+	// provisional is that of the latest listing. sessions holds the processes of instances
+	// that do not state their history, by address.
+	provisional bool
+	sessions    map[string]session
 	// historyReplaced is set from the discovery of a new history until it was
 	// listed. relists counts the listings that became necessary since the last
 	// successful poll.
@@ -156,7 +165,7 @@
 
 // NewWatcher returns a Watcher that starts reading when Serve is called.
 func NewWatcher(cfg WatcherConfig) *Watcher {
-	return &Watcher{cfg: cfg, polls: map[string]*poll{}, answers: make(chan answer), bypassed: map[string]int64{}}
+	return &Watcher{cfg: cfg, polls: map[string]*poll{}, answers: make(chan answer), bypassed: map[string]int64{}, sessions: map[string]session{}}
 }
 
 // Serve reads until ctx is done and returns its error.
@@ -209,11 +218,12 @@
 	if w.overtaken(a) {
 		return Update{}, false
 	}
-	u := Update{ReadAt: p.startedAt, Full: p.full, From: p.from, Batch: a.batch, Err: a.err}
+	u := Update{ReadAt: p.startedAt, Full: p.full, After: p.after.Revision, From: p.from, Batch: a.batch, Err: a.err}
 	if !p.full && p.after != w.position {
 		u.Batch.Changes = slices.DeleteFunc(slices.Clone(u.Batch.Changes), func(c Change) bool { return c.Revision <= w.position.Revision })
 	}
 	w.checkHistory(&u)
+	w.checkContinuity(&u)
 	u.ReadAt -= int64(u.Batch.Age)
 	w.advance(&u)
 	if u.Err == nil {
@@ -228,6 +238,8 @@
 func (w *Watcher) overtaken(a answer) bool {
 	p := a.poll
 	switch {
+	case p.full && w.listsAgain(p.from):
+		return a.err == nil && a.batch.Revision < w.position.Revision && a.batch.Era == w.position.Era
 	case p.full:
 		return w.listed
 	case !w.listed || p.after.Era != w.position.Era:
@@ -247,7 +259,7 @@
 	case u.Err != nil:
 	case u.Full:
 		u.NewHistory, w.historyReplaced = w.historyReplaced, false
-		w.listed = true
+		w.listed, w.provisional = true, u.Provisional
 		w.position.Revision = u.Batch.Revision
 	default:
 		w.position.Revision = max(w.position.Revision, u.Batch.Revision)
@@ -262,7 +274,7 @@
 	relayed := u.From != platformAddress
 	switch {
 	case needsListing(u.Err):
-		if relayed && errors.Is(u.Err, ErrCompacted) {
+		if canListElsewhere(u) {
 			w.bypass(u.From)
 		}
 		w.cancelPolls()
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -194,6 +194,10 @@
 	CounterKeepersReplaced Counter = "quota_keepers_replaced_total"
 	// CounterHistories counts the times at which the platform came back from a copy.
 	CounterHistories Counter = "platform_histories_replaced_total"
+	// CounterListings counts full listings by source, CounterUnlisted the endpoints that
+	// were found to be removed by one.
+	CounterListings Counter = "platform_listings_total"
+	CounterUnlisted Counter = "routed_endpoints_unlisted_total"
 	// CounterOrganisationsMissing counts the configurations in force that lack the list
 	// of organisations which an earlier one had.
 	CounterOrganisationsMissing Counter = "config_organisations_missing_total"
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -233,8 +233,8 @@
 	}
 	s.departed(e.incarnation(), revision, true)
 	s.removeEndpoint(e)
-	s.log("endpoint_gone", "endpoint", id, "service", e.Service, "revision", revision,
-		"from", s.reading.source, "read_age_ms", s.readAge().Milliseconds(), "last_dispatch_ms", s.sinceDispatch(e))
+	s.log("endpoint_gone", "endpoint", id, "service", e.Service, "revision", revision, "unlisted", s.listingAll,
+		"entry_revision", e.revision, "from", s.reading.source, "read_age_ms", s.readAge().Milliseconds(), "last_dispatch_ms", s.sinceDispatch(e))
 	if !e.Leaving {
 		s.entryRemoved(e)
 	}
--- a/internal/scheduler/platform.go
+++ b/internal/scheduler/platform.go
@@ -88,6 +88,12 @@
 		s.log("config_withheld", "version", u.Batch.ConfigVersion, "from", u.From, "error", u.Err.Error(), "config_age_ms", s.configAge().Milliseconds())
 		return
 	}
+	if errors.Is(u.Err, directory.ErrCompacted) || errors.Is(u.Err, directory.ErrUnprovenHistory) {
+		s.count(CounterReads, "history_gap")
+		s.log("history_gap", "from", cmp.Or(u.From, platformSource), "after", u.After, "history_since", u.Batch.HistorySince,
+			"error", u.Err.Error(), "config_age_ms", s.configAge().Milliseconds())
+		return
+	}
 	if u.Err != nil {
 		s.count(CounterReads, "failed")
 		if s.platform.lastError == "" {
@@ -126,6 +132,11 @@
 		s.historyReplaced(u)
 	}
 	s.reading = directoryReading{cmp.Or(u.From, platformSource), readAt}
+	if u.Full {
+		s.countListing(u)
+		s.log("directory_listed", "from", s.reading.source, "revision", u.Batch.Revision, "history_since", u.Batch.HistorySince,
+			"provisional", u.Provisional, "read_age_ms", s.readAge().Milliseconds())
+	}
 	departuresBefore, softwareBefore := len(s.departures), len(s.furtherSoftware)
 	s.applyBatch(u)
 	if u.From == "" {
@@ -134,6 +145,18 @@
 	s.emit(ConfigConfirmed{At: s.platform.confirmedAt})
 }
 
+// countListing counts a listing by where it is from.
+func (s *State) countListing(u directory.Update) {
+	switch {
+	case u.From == "":
+		s.count(CounterListings, "platform")
+	case u.Provisional:
+		s.count(CounterListings, "provisional")
+	default:
+		s.count(CounterListings, "relayed")
+	}
+}
+
 // advancePosition records how far the platform's history was read.
 func (s *State) advancePosition(u directory.Update) {
 	position := directory.Position{Era: u.Batch.Era, Revision: u.Batch.Revision}
@@ -181,6 +204,7 @@
 		}
 		for id := range s.endpoints {
 			if !listed[id] {
+				s.count(CounterUnlisted, "")
 				s.endpointGone(id, u.Batch.Revision)
 			}
 		}
