--- a/internal/routing/keys.go
+++ b/internal/routing/keys.go
@@ -46,10 +46,10 @@
 // list of organisations, so that it can't be told which keys are valid.
 func (t *Table) OrganisationsMissing() bool { return t.organisationsMissing }
 
-// RetainKeys returns a table that requires keys although the configuration has no list
-// of organisations, since an earlier one had.
+// RetainKeys returns a table that requires keys even if the configuration has no list of
+// organisations, since an earlier one had.
 func (t *Table) RetainKeys() *Table {
 	retained := *t
-	retained.organisationsMissing = !t.RequiresKeys()
+	retained.organisationsMissing = t.config.KeyRequirement() != KeysRequired
 	return &retained
 }
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -82,6 +82,7 @@
 	retained := none.RetainKeys()
 	must.True(t, retained.RequiresKeys())
 	must.True(t, retained.OrganisationsMissing())
+	must.True(t, retained.RetainKeys().RequiresKeys())
 	must.Eq(t, 3, retained.Version())
 	must.False(t, none.RequiresKeys())
 }
