Reset connections whose request is given up

Cause: the close of the connection was a regular one, after which the kernel goes on to retransmit what was written.

Change: a connection is reset if it is closed while a request is in progress.

Evidence: TestGivenUpRequestIsNotDeliveredLater fails without the change (the endpoint reads a regular end). Tests of internal/endpoint and internal/gateway pass.

--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -376,3 +377,21 @@
 	_, err := client.Connect(t.Context(), endpoint.address)
 	must.ErrorIs(t, err, ErrClosed)
 }
+
+// Guards against a request that reaches the endpoint seconds after it was given up: the
+// kernel goes on to deliver what was written before a close, also once the way is there
+// again.
+func TestGivenUpRequestIsNotDeliveredLater(t *testing.T) {
+	givenUp, end := make(chan struct{}), make(chan error, 1)
+	address := listen(t, func(c net.Conn) {
+		<-givenUp
+		_, err := io.Copy(io.Discard, c)
+		end <- err
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := send(ctx, t, newClient(t, Config{}), address, Call{Method: "POST", Path: "/", Body: make([]byte, 32<<20)})
+	must.Error(t, err)
+	close(givenUp)
+	must.ErrorIs(t, <-end, syscall.ECONNRESET)
+}
--- a/internal/endpoint/tracked_conn.go
+++ b/internal/endpoint/tracked_conn.go
@@ -90,7 +90,11 @@
 	c.mu.Lock()
 	c.dead = true
 	c.writeClosed = true
+	started := c.started
 	c.mu.Unlock()
+	if started {
+		c.discardUnsent()
+	}
 	return c.Conn.Close()
 }
 
@@ -102,10 +106,22 @@
 	c.dead = true
 	sent = c.started
 	c.mu.Unlock()
+	if sent {
+		c.discardUnsent()
+	}
 	_ = c.Conn.Close()
 	return sent
 }
 
+// discardUnsent makes the close a reset, so that the kernel does not go on to deliver a
+// request that was given up: while the way to the endpoint is cut, it would arrive seconds
+// later.
+func (c *trackedConn) discardUnsent() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // setGuard sets the guard of the next request.
 func (c *trackedConn) setGuard(guard func() bool) {
 	c.mu.Lock()
