--- a/internal/directory/continuity.go
+++ b/internal/directory/continuity.go
@@ -2,18 +2,18 @@
 
 import "github.com/cockroachdb/errors"
 
-// Whether the changes that another instance returns are complete. An instance keeps the
-// deletions that it has seen. Those from before its first listing, or between two reads of
-// which the second was a listing, it has not seen, and a reader that goes on from such a
-// revision would never learn of them. Instances state since when they have seen all;
-// of those that don't, releases before this statement, the reader assumes it.
+// This file decides whether the changes that another instance returns are complete. An
+// instance has not seen the deletions before its first listing, nor those between a read
+// and a later listing. A reader that continues from a revision before these would never
+// learn of them. Instances state the revision since which they have seen all deletions.
+// For those of earlier releases, which don't, the reader infers one.
 
-// session is the process of another instance that does not state its history, as far as a
-// connection tells.
+// session is the connection to an instance that does not state its history. Another
+// connection may lead to another process, with a shorter history.
 type session struct {
 	id any
-	// since is the revision of its first answer: it has listed before that, so that it
-	// has seen all deletions after it.
+	// since is the revision of the first answer: the process has listed before that, so
+	// that it has seen all deletions after it.
 	since int64
 }
 
@@ -59,8 +59,8 @@
 	return w.listed && w.provisional && source == platformAddress
 }
 
-// canListElsewhere reports whether an instance refused changes from before its own
-// history without stating that it has one, so that a listing from it may fail too.
-func canListElsewhere(u Update) bool {
+// refusedWithoutHistory reports whether an instance refused changes without stating any
+// history: it may have no listing, so that another source is listed.
+func refusedWithoutHistory(u Update) bool {
 	return u.From != platformAddress && errors.Is(u.Err, ErrCompacted) && u.Batch.HistorySince == 0
 }
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -127,7 +127,7 @@
 	cfg      WatcherConfig
 	listed   bool
 	position Position
-	// provisional is that of the latest listing. sessions holds the processes of instances
+	// provisional is that of the latest listing. sessions holds the connections to instances
 	// that do not state their history, by address.
 	provisional bool
 	sessions    map[string]session
@@ -274,7 +274,7 @@
 	relayed := u.From != platformAddress
 	switch {
 	case needsListing(u.Err):
-		if canListElsewhere(u) {
+		if refusedWithoutHistory(u) {
 			w.bypass(u.From)
 		}
 		w.cancelPolls()
