--- a/internal/directory/continuity_test.go
+++ b/internal/directory/continuity_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,27 +159,6 @@
 	})
 }
 
-// known returns the IDs of the endpoints that each instance uses.
-func (f *fleet) known() [][]string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out [][]string
-	for _, i := range f.instances {
-		out = append(out, slices.Sorted(maps.Keys(i.known)))
-	}
-	return out
-}
-
-func (f *fleet) listings() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	sum := 0
-	for _, i := range f.instances {
-		sum += i.listings
-	}
-	return sum
-}
-
 // Guards against a chain of readers that does not know where its history begins: what an
 // instance states is what holds for the data that it has, and a listing from one that
 // states nothing is passed on as such until the platform was listed.
