--- a/internal/directory/continuity_test.go
+++ b/internal/directory/continuity_test.go
@@ -88,9 +88,11 @@
 					ctx, cancel := context.WithCancel(t.Context())
 					defer cancel()
 					f := newFleet(ctx, size)
+					f.mu.Lock()
 					for _, n := range c.earlier {
 						f.instances[n].earlier = true
 					}
+					f.mu.Unlock()
 					f.publish(putChange("other", 0))
 					time.Sleep(10*time.Second + time.Duration(phase)*130*time.Millisecond)
 					cutOff := func(cut bool) {
--- a/internal/directory/fleet_test.go
+++ b/internal/directory/fleet_test.go
@@ -132,7 +132,9 @@
 	defer i.fleet.mu.Unlock()
 	i.replica.Apply(u)
 	if i.earlier {
+		i.replica.mu.Lock()
 		i.replica.historySince, i.replica.provisional = 0, true
+		i.replica.mu.Unlock()
 	}
 	if u.Err == nil && u.Full {
 		clear(i.known)
