Require a written request before the close ends an answer

Callers got the part of an answer as all of it: an endpoint answered a long upload at once without a length, and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. If the write of the request gets the error, the next read finds a regular end, which ends an answer without a length.

The connection now tracks how much of its request was written. The order of read and write no longer matters: an answer that ends before the writer has noted its error waits for it. Whole early answers with a length, and without one if the endpoint reads on, still arrive (TestEarlyAnswerIsReadToItsEnd).

--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -32,6 +32,9 @@
 	// end of the answer, so that a complete answer cannot be distinguished from
 	// an incomplete one. It wraps ErrIncomplete.
 	ErrCloseDelimited = wrapCause(ErrIncomplete, errors.New("only the close of the connection marked its end"))
+	// ErrRequestUnwritten means that the connection ended before the request was
+	// written to its end, after a part of the answer.
+	ErrRequestUnwritten = errors.New("connection ended before the request was written")
 	// ErrInvalidCall means that a Call can't be written as an HTTP/1.1 request.
 	ErrInvalidCall = errors.New("call is not a valid request")
 	// ErrConnUsed means that Send or Close was called on the Conn before.
@@ -97,7 +100,8 @@
 	Status int
 	Header http.Header
 	// Body returns io.EOF only after an answer that is complete by the rules of
-	// HTTP; otherwise it returns an error that wraps ErrIncomplete. Closing a
+	// HTTP; otherwise it returns an error that wraps ErrIncomplete. The close of the
+	// connection ends an answer only after the whole request was written. Closing a
 	// body before its end closes the connection.
 	Body io.ReadCloser
 	// CloseDelimited is set if only the close of the connection marks the end of the
@@ -145,7 +149,7 @@
 		c.pooled.discard()
 		return nil, &SendError{Err: ErrConnectionLost}
 	}
-	c.pooled.conn.setGuard(call.Guard)
+	c.pooled.conn.begin(call.Guard, len(call.Body))
 	c.pooled.carried = true
 	response, err := c.pooled.transport.RoundTrip(request)
 	if err != nil {
--- a/internal/endpoint/tracked_conn.go
+++ b/internal/endpoint/tracked_conn.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -36,6 +37,10 @@
 	writeClosed bool
 	// dead is set when the connection is known to be unusable.
 	dead bool
+	// request is the writing of the current or last request; nil before the first.
+	request *requestWrite
+	// answered is set once bytes were read after the request was begun.
+	answered bool
 }
 
 // Write marks the request as started before it writes to the socket, so that a
@@ -54,10 +59,13 @@
 		return 0, ErrWithheld
 	}
 	c.started = true
+	request := c.request
 	c.mu.Unlock()
 
 	n, err := c.Conn.Write(p)
+	request.wrote(p[:n])
 	if err != nil {
+		request.fail()
 		c.mu.Lock()
 		c.dead = true
 		if first && n == 0 {
@@ -69,9 +77,23 @@
 }
 
 // Read rejects data that arrives while no request is in progress: it belongs to
-// the answer to another request.
+// the answer to another request. The end of an answer is regular only if its request was
+// written to the end.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	request, solicited := c.noteRead(n, err)
+	switch {
+	case !solicited:
+		return 0, errUnsolicited
+	case err == io.EOF && request != nil && !request.await():
+		return n, ErrRequestUnwritten
+	}
+	return n, err
+}
+
+// noteRead updates the state after a read. It returns the request whose answer has begun, or
+// nil if none has, and whether the bytes may belong to an answer.
+func (c *trackedConn) noteRead(n int, err error) (request *requestWrite, solicited bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
@@ -80,9 +102,13 @@
 	if n > 0 && !c.started {
 		c.dead = true
 		c.writeClosed = true
-		return 0, errUnsolicited
+		return nil, false
 	}
-	return n, err
+	c.answered = c.answered || n > 0
+	if !c.answered {
+		return nil, true
+	}
+	return c.request, true
 }
 
 // Close closes the connection.
@@ -90,8 +116,9 @@
 	c.mu.Lock()
 	c.dead = true
 	c.writeClosed = true
-	started := c.started
+	started, request := c.started, c.request
 	c.mu.Unlock()
+	request.fail()
 	if started {
 		c.discardUnsent()
 	}
@@ -105,7 +132,9 @@
 	c.writeClosed = true
 	c.dead = true
 	sent = c.started
+	request := c.request
 	c.mu.Unlock()
+	request.fail()
 	if sent {
 		c.discardUnsent()
 	}
@@ -122,14 +151,17 @@
 	}
 }
 
-// setGuard sets the guard of the next request.
-func (c *trackedConn) setGuard(guard func() bool) {
+// begin prepares the connection for a request with a body of the given size. guard may be
+// nil.
+func (c *trackedConn) begin(guard func() bool, bodyBytes int) {
 	c.mu.Lock()
 	c.guard = guard
+	c.request = newRequestWrite(bodyBytes)
+	c.answered = false
 	c.mu.Unlock()
 }
 
-// reset prepares the connection for the next request.
+// reset ends the current request.
 func (c *trackedConn) reset() {
 	c.mu.Lock()
 	c.started = false
