Reject answers whose head has an invalid field name

Callers got answers in whose head the name of a field held a blank, with a body that was not the endpoint's: the chunks as they were framed after "Transfer-Encoding : chunked", or a body that ended with its connection after "Content-Length : 16".

Cause: net/http keeps a field whose name holds a blank under that name and does not apply it. Nothing checked the names. Control bytes in a name, bytes over 0x7f and empty names are rejected by net/http.

internal/httphead decides whether a head is well-formed; the client of endpoints and instances asks it before it believes anything in a head. A name that is not a token shows that the head was damaged, so its length, coding and statements prove nothing either.

--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/attribution"
+	"github.com/balsamstair/balsamstair/internal/httphead"
 	"github.com/cockroachdb/errors"
 )
 
@@ -174,6 +175,9 @@
 }
 
 func checkResponse(response *http.Response, head attribution.Head) error {
+	if err := httphead.Check(response); err != nil {
+		return wrapCause(ErrProtocol, err)
+	}
 	if response.StatusCode < http.StatusOK {
 		return ErrProtocol
 	}
@@ -194,23 +198,17 @@
 		pooled:         c.pooled,
 		body:           response.Body,
 		reusable:       reusable && !response.Close,
-		closeDelimited: isCloseDelimited(response) && !c.client.config.AcceptCloseDelimited,
+		closeDelimited: httphead.CloseDelimited(response) && !c.client.config.AcceptCloseDelimited,
 	}
 	return &Answer{
 		Status:         response.StatusCode,
 		Header:         response.Header,
 		Body:           body,
-		CloseDelimited: isCloseDelimited(response),
+		CloseDelimited: httphead.CloseDelimited(response),
 		Reused:         c.reused,
 	}
 }
 
-// isCloseDelimited reports whether only the close of the connection marks the
-// end of the body.
-func isCloseDelimited(response *http.Response) bool {
-	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 func newRequest(ctx context.Context, address, idHeader string, call Call) (*http.Request, error) {
 	if !strings.HasPrefix(call.Path, "/") || call.Method == http.MethodConnect {
 		return nil, ErrInvalidCall
