Platform, directory: check the heads of what is read

Callers saw nothing of this yet; found by checking every place that reads answers. An answer of the store or of a relay whose head held a field with a blank in its name was read, as was the era of an answer with the status 000. A 410 with such a head made an instance discard what it knew.

The platform's client counts such answers as reason protocol.

--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/httphead"
 	"github.com/balsamstair/balsamstair/internal/routing"
 	"github.com/cockroachdb/errors"
 )
@@ -231,7 +232,7 @@
 	}
 	// Set here, so that the client does not unpack the answer.
 	request.Header.Set("Accept-Encoding", "gzip")
-	response, err := r.Client.Do(request)
+	response, err := httphead.Do(r.Client, request)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "relay")
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/balsamstair/balsamstair/internal/declared"
+	"github.com/balsamstair/balsamstair/internal/httphead"
 )
 
 const (
@@ -134,9 +135,9 @@
 		return failedRead(ReasonUnreachable, err)
 	}
 	c.stats.countCall()
-	response, err := c.http.Do(request)
+	response, err := httphead.Do(c.http, request)
 	if err != nil {
-		return failedRead(transportReason(ctx), err)
+		return failedRead(callReason(ctx, err), err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	return c.readResponse(ctx, response, after)
@@ -172,6 +173,14 @@
 	return readResult{version: version, bytes: bytes}
 }
 
+// callReason classifies the error of a call without a response.
+func callReason(ctx context.Context, err error) Reason {
+	if head := new(httphead.Error); errors.As(err, &head) {
+		return ReasonProtocol
+	}
+	return transportReason(ctx)
+}
+
 func transportReason(ctx context.Context) Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return ReasonTimeout
--- a/internal/platform/stats.go
+++ b/internal/platform/stats.go
@@ -16,6 +16,8 @@
 	ReasonTimeout Reason = "timeout"
 	// ReasonStatus means an unexpected HTTP status.
 	ReasonStatus Reason = "status"
+	// ReasonProtocol means a response whose head is not well-formed.
+	ReasonProtocol Reason = "protocol"
 	// ReasonNotFound means that nothing is published under the key.
 	ReasonNotFound Reason = "not_found"
 	// ReasonRateLimited means that the platform rejected a read because of
