Platform: do not take a value whose end only the close marks

A declared file that breaks off after an entry is valid, so that a part of it came into force: organisations and endpoints after it were gone.

Cause: a value without a length ended with its connection. Truncated manifests and parts are found by their digests, a single value is not.

Evidence: TestCutValueIsNotRead got the part with its version on the previous code; now the read fails with reason protocol and is repeated.

An answer without a length can't be told from a part of it, as the client of endpoints holds already (ErrCloseDelimited). The platform's own server always states a length or sends chunks.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -160,6 +160,9 @@
 	if response.StatusCode == http.StatusNotModified || version == after {
 		return readResult{version: version}
 	}
+	if httphead.CloseDelimited(response) {
+		return failedRead(ReasonProtocol, errors.New("value without a length"))
+	}
 	bytes, err := io.ReadAll(io.LimitReader(response.Body, declared.MaxValueBytes+1))
 	c.stats.countBytes(len(bytes))
 	switch {
--- a/internal/platform/client_head_test.go
+++ b/internal/platform/client_head_test.go
@@ -31,3 +31,11 @@
 		})
 	}
 }
+
+// Guards against a part of a declared file that is taken for all of it: a file that ends
+// after an entry is valid.
+func TestCutValueIsNotRead(t *testing.T) {
+	r := readValue(t, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: 3\r\n\r\n[[organisation]]\nname = \"a\"\n", versionHeader))
+	must.Eq(t, ReasonProtocol, r.reason)
+	must.Nil(t, r.bytes)
+}
--- a/internal/platform/stats.go
+++ b/internal/platform/stats.go
@@ -16,7 +16,8 @@
 	ReasonTimeout Reason = "timeout"
 	// ReasonStatus means an unexpected HTTP status.
 	ReasonStatus Reason = "status"
-	// ReasonProtocol means a response whose head is not well-formed.
+	// ReasonProtocol means a response whose head is not well-formed, or a
+	// value whose end only the close of the connection marks.
 	ReasonProtocol Reason = "protocol"
 	// ReasonNotFound means that nothing is published under the key.
 	ReasonNotFound Reason = "not_found"
