Callers: check the head and the length of forwarded answers

Callers got the answer of another instance as it was, also with a field whose name held a blank, and one without a length as far as it came. On a status below 100 the handler panicked, so that their connection was closed.

The response of a forwarded request did not go through the client of endpoints.

Such an answer is a failure to reach the instance, which the caller already learns as outcome_unknown, or by the resumed run. forward_failed in the log states the error.

--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/balsamstair/balsamstair/internal/declared"
+	"github.com/balsamstair/balsamstair/internal/endpoint"
+	"github.com/balsamstair/balsamstair/internal/httphead"
 	"github.com/balsamstair/balsamstair/internal/reducer"
 	"github.com/balsamstair/balsamstair/internal/refusal"
 	"github.com/balsamstair/balsamstair/internal/ticket"
@@ -33,8 +35,13 @@
 	out.Header.Set(headerForwarded, "1")
 	out.Header.Del(headerKey)
 	out.Body, out.ContentLength, out.GetBody = io.NopCloser(bytes.NewReader(req.body)), int64(len(req.body)), nil
-	resp, err := peer.RoundTrip(out)
+	resp, err := httphead.RoundTrip(peer, out)
+	if err == nil && httphead.CloseDelimited(resp) {
+		_ = resp.Body.Close()
+		err = endpoint.ErrCloseDelimited
+	}
 	if err != nil {
+		h.cfg.Log.Info("forward_failed", "request", formatRequestID(t.Incarnation, t.Sequence), "error", err.Error())
 		h.resumeRun(w, r, req, t, started)
 		return
 	}
