balsamctl: check the heads of responses

Operators saw responses with malformed heads as results: send printed "status=0" and the body, and a part of a response without a length; explain, status and load read responses with a blank in a field name.

--- a/cmd/balsamctl/explain.go
+++ b/cmd/balsamctl/explain.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/httphead"
 	"github.com/balsamstair/balsamstair/internal/reducer"
 	"github.com/cockroachdb/errors"
 )
@@ -68,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.client.Do(req)
+	resp, err := httphead.Do(c.client, req)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/balsamctl/send.go
+++ b/cmd/balsamctl/send.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/httphead"
 	"github.com/balsamstair/balsamstair/internal/refusal"
 )
 
@@ -116,11 +117,14 @@
 			req.Header.Set(name, value)
 		}
 	}
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := httphead.RoundTrip(http.DefaultTransport, req)
 	if err != nil {
 		return time.Second, err
 	}
 	defer resp.Body.Close()
+	if httphead.CloseDelimited(resp) {
+		return -1, errors.New("response has no length, so that its end is not known")
+	}
 	if resp.Header.Get("Balsam-Endpoint") == "" {
 		return s.handleRefusal(resp)
 	}
--- a/cmd/balsamctl/status.go
+++ b/cmd/balsamctl/status.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/balsamstair/balsamstair/internal/httphead"
 	"github.com/balsamstair/balsamstair/internal/reducer"
 	"github.com/cockroachdb/errors"
 )
@@ -135,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.client.Do(req)
+	resp, err := httphead.Do(c.client, req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/load/audit.go
+++ b/internal/load/audit.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/balsamstair/balsamstair/internal/httphead"
 	"github.com/balsamstair/balsamstair/internal/standin"
 )
 
@@ -76,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := httphead.Do(http.DefaultClient, request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/balsamstair/balsamstair/internal/caller"
+	"github.com/balsamstair/balsamstair/internal/httphead"
 )
 
 // DefaultMaxInFlight limits the concurrent requests. A request that arrives
@@ -91,7 +92,7 @@
 		return o
 	}
 	sent := time.Now()
-	response, err := r.Transport.RoundTrip(httpRequest)
+	response, err := httphead.RoundTrip(r.Transport, httpRequest)
 	if err == nil {
 		defer func() { _ = response.Body.Close() }()
 		readAnswer(response, request, sent, &o)
