Log and count what was wrong with an answer

On-call engineers saw "answer violates the protocol" and had to guess which fault an endpoint has.

Cause: one error for all violations, and heads that net/http rejects had no kind of their own.

attempt_failed and request_ended now have answer_defect (status, field_name, malformed_head, request_unwritten), and routed_defective_answers_total counts by it. The kind protocol of routed_foreign_answers_total is gone, since these answers are counted there. TestAnswerDefects and TestAnswerDefectIsLoggedAndCounted state which answer has which kind, and that a connection that fails has none.

--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -155,8 +155,11 @@
 	response, err := c.pooled.transport.RoundTrip(request)
 	if err != nil {
 		sent := c.pooled.abort()
-		if c.pooled.conn.wasWithheld() {
+		switch {
+		case c.pooled.conn.wasWithheld():
 			err = ErrWithheld
+		case c.pooled.conn.hasAnswered() && !isConnectionError(err):
+			err = wrapCause(ErrProtocol, err)
 		}
 		return nil, &SendError{Sent: sent, Err: err}
 	}
--- a/internal/endpoint/request_write.go
+++ b/internal/endpoint/request_write.go
@@ -60,9 +60,12 @@
 // await waits for the end of the writing and reports whether the whole request was written.
 // It stops waiting after writeStallTimeout without progress.
 func (w *requestWrite) await() bool {
+	before, whole := w.state()
+	if whole {
+		return true
+	}
 	timer := time.NewTimer(writeStallTimeout)
 	defer timer.Stop()
-	before, _ := w.state()
 	for {
 		select {
 		case <-w.ended:
--- a/internal/endpoint/request_write_test.go
+++ b/internal/endpoint/request_write_test.go
@@ -100,6 +100,7 @@
 	client := newClient(t, Config{AcceptCloseDelimited: true})
 	_, _, err := sendAndRead(t, client, address, Call{Method: http.MethodPost, Path: "/", Body: upload})
 	must.ErrorIs(t, err, ErrRequestUnwritten)
+	must.Eq(t, DefectRequestUnwritten, AnswerDefect(err))
 }
 
 // Guards against a slow upload that is taken for a stalled one.
--- a/internal/endpoint/tracked_conn.go
+++ b/internal/endpoint/tracked_conn.go
@@ -175,6 +175,13 @@
 	return c.withheld
 }
 
+// hasAnswered reports whether a part of the answer to the current request was read.
+func (c *trackedConn) hasAnswered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered
+}
+
 func (c *trackedConn) isDead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -138,8 +138,6 @@
 		kind = attribution.Foreign.String()
 	case errors.Is(err, endpoint.ErrUnnamedAnswer):
 		kind = attribution.Unnamed.String()
-	case errors.Is(err, endpoint.ErrProtocol):
-		kind = "protocol"
 	default:
 		return
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -64,6 +64,8 @@
 	// For the log.
 	attempts int
 	endpoint string
+	// answerDefect is what was wrong with the last answer that was not well-formed.
+	answerDefect string
 	// sentTo holds the addresses of the endpoints to which the request was sent.
 	sentTo []string
 	// endpointVersion is the version of the endpoint's software, software identifies
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -387,7 +387,7 @@
 	fields := append([]any{"request", x.info.ID, "status", x.status, "reason", string(x.reason),
 		"not_run", x.notRun, "retry_after_ms", x.retryAfter.Milliseconds(), "route", route, "organisation", org, "version", x.version,
 		"config_age_ms", h.cfg.Now().Sub(scheduler.Instant(h.configConfirmedAt.Load())).Milliseconds(),
-		"attempts", x.attempts, "endpoint", x.endpoint, "endpoint_version", x.endpointVersion, "outcome", outcome,
+		"attempts", x.attempts, "endpoint", x.endpoint, "endpoint_version", x.endpointVersion, "outcome", outcome, "answer_defect", x.answerDefect,
 		"via", x.via, "forwarded", x.forwarding != nil,
 		"resumes", x.info.Resumes, "resumes_after", x.info.LastEventID,
 		"queued_ms", x.queueTime.Milliseconds(), "first_event_ms", firstEvent.Milliseconds(),
@@ -400,9 +400,14 @@
 // logAttemptFailure counts and logs the error of an attempt at an endpoint.
 func (h *Handler) logAttemptFailure(x *exchange, step string, err error) {
 	h.cfg.Counters.Add("routed_attempt_failures_total", step, 1)
+	defect := endpoint.AnswerDefect(err)
+	if defect != "" {
+		x.answerDefect = defect
+		h.cfg.Counters.Add(counterDefectiveAnswers, defect, 1)
+	}
 	if h.logLimiter.Allow() {
 		h.cfg.Log.Info("attempt_failed", "request", x.info.ID, "endpoint", x.endpoint, "endpoint_version", x.endpointVersion, "attempt", x.attempts,
-			"step", step, "events", x.events.lastID, "fingerprint", scheduler.FormatFingerprint(x.fingerprint),
+			"step", step, "answer_defect", defect, "events", x.events.lastID, "fingerprint", scheduler.FormatFingerprint(x.fingerprint),
 			"prompt_parts", scheduler.FormatPromptParts(x.info.PromptParts), "error", err.Error())
 	}
 }
--- a/internal/gateway/malformed_head_test.go
+++ b/internal/gateway/malformed_head_test.go
@@ -1,15 +1,20 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/balsamstair/balsamstair/internal/attribution"
+	"github.com/balsamstair/balsamstair/internal/endpoint"
+	"github.com/balsamstair/balsamstair/internal/httphead"
 	"github.com/balsamstair/balsamstair/internal/httphead/headtest"
+	"github.com/balsamstair/balsamstair/internal/logline"
 	"github.com/balsamstair/balsamstair/internal/routing"
 	"github.com/shoenig/test/must"
 )
@@ -37,6 +42,53 @@
 	}
 }
 
+// syncBuffer collects log lines.
+type syncBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// Guards against an answer of which the lines of its request do not say why it was not
+// passed on.
+func TestAnswerDefectIsLoggedAndCounted(t *testing.T) {
+	for defect, text := range map[string]string{
+		string(httphead.InvalidStatus):    "HTTP/1.1 000 OK\r\nId: id-1\r\n\r\n",
+		string(httphead.InvalidFieldName): "HTTP/1.1 200 OK\r\nId: id-1\r\nCustom : v\r\n\r\n",
+		endpoint.DefectMalformed:          "HTTP/1.1 200 OK\r\nId: id-1\r\nCustom\x01: v\r\n\r\n",
+	} {
+		t.Run(defect, func(t *testing.T) {
+			log := &syncBuffer{}
+			s := newTestGateway(t, 1, config(func(r *routing.Route) { r.Kind = routing.Unsafe }), replyWith(text, false))
+			s.handler.cfg.Log = logline.New(log, "info")
+			_, _, err := s.do(nil)
+			must.NoError(t, err)
+			must.Eq(t, 1, s.counters.Value(counterDefectiveAnswers, defect))
+			for _, event := range []string{"attempt_failed", "request_ended"} {
+				eventually(t, func() bool {
+					for line := range strings.SplitSeq(log.String(), "\n") {
+						if strings.Contains(line, event) && strings.Contains(line, "answer_defect="+defect) {
+							return true
+						}
+					}
+					return false
+				})
+			}
+		})
+	}
+}
+
 // Guards against a refusal with a malformed head that counts as a proof that the request has
 // not run: it was sent to another endpoint, or its caller told to repeat it.
 func TestMalformedRefusalProvesNothing(t *testing.T) {
