--- a/internal/endpoint/request_write.go
+++ b/internal/endpoint/request_write.go
@@ -11,7 +11,8 @@
 
 // requestWrite tracks the writing of one request. The kernel reports a reset once: if the
 // write of the request gets that error, the next read finds a regular end, which looks like
-// that of an answer without a length. Its methods accept nil, which is no request.
+// that of an answer without a length. wrote and fail accept nil, for a connection without a
+// request.
 type requestWrite struct {
 	mu     sync.Mutex
 	extent requestExtent
