Review: a changed revocation bound is not applied

Cause: a reload of the settings applies the seeds only, so that keys are accepted for as long as the bound of the start allows.

--- a/review/standins-3/site.go
+++ b/review/standins-3/site.go
@@ -71,10 +71,11 @@
 	storeAt  string
 	machines []*machine
 	record   *record
-	// template is that of the deploy file, seeds and graceS are Seeds and GraceS in the settings.
-	template string
-	seeds    []string
-	graceS   int
+	// template is that of the deploy file; seeds, graceS and revokeMs are Seeds, GraceS and
+	// RevokeMs in the settings.
+	template         string
+	seeds            []string
+	graceS, revokeMs int
 }
 
 // machine is one edge machine with its process.
@@ -116,7 +117,7 @@
 		return nil, err
 	}
 	pid := os.Getpid()
-	s := &site{dir: dir, store: newStore(), record: &record{file: file, start: time.Now()}, graceS: 8}
+	s := &site{dir: dir, store: newStore(), record: &record{file: file, start: time.Now()}, graceS: 8, revokeMs: 5000}
 	s.ip = func(n int) string { return fmt.Sprintf("127.%d.%d.%d", 1+pid%250, 1+pid/250%250, 1+n) }
 	l, err := net.Listen("tcp", s.ip(200)+":0")
 	if err != nil {
@@ -185,7 +186,7 @@
 		"NodeName": m.name, "Zone": zone, "Ip": m.ip, "Seeds": s.seeds, "HeartbeatMs": heartbeat.Milliseconds(),
 		"Listen":   map[string]any{"Frontend": m.frontend, "Ready": m.ready, "ControlPlane": m.peer},
 		"Platform": map[string]any{"Address": s.storeAt},
-		"Bounds":   map[string]any{"RevokeMs": 5000, "RetryBudgetRatio": 0.2, "BudgetExtraRetries": 54, "BudgetWindowS": 10, "GraceS": s.graceS},
+		"Bounds":   map[string]any{"RevokeMs": s.revokeMs, "RetryBudgetRatio": 0.2, "BudgetExtraRetries": 54, "BudgetWindowS": 10, "GraceS": s.graceS},
 		"Limits":   map[string]any{"MemoryMb": 284, "FileDescriptors": 4100},
 	})
 }
