--- a/review/standins-3/changed_revocation.go
+++ b/review/standins-3/changed_revocation.go
@@ -19,7 +19,7 @@
 )
 
 // changedRevocation lowers RevokeMs in the settings files, tells the machines by SIGHUP, and
-// takes a key away while they are cut off from the store. Without the disruption the machines
+// takes a key away while their zone is cut off from the store. Without the disruption the machines
 // start with the lower bound.
 func changedRevocation(s *site, trouble bool) (int, error) {
 	const service = "huvo11a"
@@ -60,7 +60,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	s.store.cutOff()
-	s.record.line("the machines are cut off from the store")
+	s.record.line("the zone is cut off from the store")
 	write(9, kept)
 	acknowledged := time.Now()
 	s.record.line("version 9, without the key %s, is acknowledged", withdrawn)
--- a/review/standins-3/missed_storm.go
+++ b/review/standins-3/missed_storm.go
@@ -12,7 +12,7 @@
 func init() { cases["missed-storm"] = missedStorm }
 
 const (
-	// cutTime is how long the machines are cut off from the store.
+	// cutTime is how long the zone is cut off from the store.
 	cutTime = 5500 * time.Millisecond
 	// stormTime and stormGap are those of a storm of configurations, moreRoutes is the number
 	// of routes by which the configuration has grown.
@@ -26,7 +26,7 @@
 	observed = 7 * time.Second
 )
 
-// missedStorm cuts the machines off from the store while the operator writes configurations
+// missedStorm cuts the only zone off from the store while the operator writes configurations
 // in quick succession. The last one moves a public route to another service.
 func missedStorm(s *site, trouble bool) (int, error) {
 	const before, after = "huvo11a", "wuno96b"
@@ -65,7 +65,7 @@
 	}
 	if trouble {
 		s.store.cutOff()
-		s.record.line("the machines are cut off from the store")
+		s.record.line("the zone is cut off from the store")
 	}
 	begun := time.Now()
 	for time.Since(begun) < stormTime {
--- a/review/standins-3/runner.go
+++ b/review/standins-3/runner.go
@@ -96,8 +96,11 @@
 	return nil
 }
 
-// beat writes the entry.
+// beat writes the entry, unless the runner is down or cut off from the store.
 func (r *runner) beat() {
+	if r.site.store.isCut() {
+		return
+	}
 	r.mu.Lock()
 	if r.down {
 		r.mu.Unlock()
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -88,14 +88,43 @@
 	s.changed = make(chan struct{})
 }
 
-// cutOff cuts the machines off from the store. The operator and the runners reach it. Calls
-// hang and are never answered.
+// cutOff cuts the zone of the machines and of the runners off from the store. The operator
+// reaches it. Calls of the machines hang and are never answered; runners can't write, so that
+// their entries expire after three heartbeats.
 func (s *store) cutOff() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cut = make(chan struct{})
 	close(s.changed)
 	s.changed = make(chan struct{})
+	go s.expireEntries(s.cut)
+}
+
+// expireEntries removes the entries of the runners if the cut lasts long enough.
+func (s *store) expireEntries(cut chan struct{}) {
+	select {
+	case <-cut:
+		return
+	case <-time.After(3 * heartbeat):
+	}
+	s.mu.Lock()
+	var expired []string
+	for key := range s.items {
+		if strings.HasPrefix(key, "servers/") {
+			expired = append(expired, key)
+		}
+	}
+	s.mu.Unlock()
+	for _, key := range expired {
+		s.remove(key)
+	}
+}
+
+// isCut reports whether the zone is cut off.
+func (s *store) isCut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut != nil
 }
 
 // reconnect ends the cut.
