--- a/review/standins-3/first_event.go
+++ b/review/standins-3/first_event.go
@@ -16,8 +16,8 @@
 
 // Parameters of the streams.
 const (
-	streamEvents = 8
-	eventGap     = 120 * time.Millisecond
+	streamEvents = 5
+	eventGap     = 350 * time.Millisecond
 	// crashes is the number of crashes, one runner of four at a time.
 	crashes = 8
 )
