--- a/review/standins-3/changed_revocation.go
+++ b/review/standins-3/changed_revocation.go
@@ -18,8 +18,8 @@
 	revokeAfter  = 2000
 )
 
-// changedRevocation lowers RevokeMs in the settings files, tells the machines by SIGHUP, and
-// takes a key away while their zone is cut off from the store. Without the disruption the machines
+// changedRevocation lowers RevokeMs in the settings files, tells one of three machines by
+// SIGHUP, and takes a key away while their zone is cut off from the store. Without the disruption the machines
 // start with the lower bound.
 func changedRevocation(s *site, trouble bool) (int, error) {
 	const service = "huvo11a"
@@ -54,9 +54,10 @@
 			if err := s.writeSettings(m); err != nil {
 				return 0, err
 			}
-			s.record.line("the settings file of %s now has RevokeMs %d, SIGHUP", m.name, revokeAfter)
-			m.signal(syscall.SIGHUP)
+			s.record.line("the settings file of %s now has RevokeMs %d", m.name, revokeAfter)
 		}
+		s.record.line("%s gets SIGHUP", s.machines[0].name)
+		s.machines[0].signal(syscall.SIGHUP)
 	}
 	time.Sleep(3 * time.Second)
 	s.store.cutOff()
--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -85,3 +87,15 @@
 	}
 	return fmt.Sprintf("%d, signature %q, %d bytes, whole %v, after %d ms", r.status, r.header.Get(stamp), len(r.body), r.whole, r.took.Milliseconds())
 }
+
+// eventIDs returns the ids of the events of a stream.
+func eventIDs(body []byte) []int {
+	ids := []int{}
+	for lines := bufio.NewScanner(bytes.NewReader(body)); lines.Scan(); {
+		if value, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			id, _ := strconv.Atoi(value)
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
